Reload on SIGHUP: check the whole file, then follow its discovery at once

Checked: 129 is 128 + SIGHUP; daemon._catch_signals had handlers for SIGTERM and SIGINT alone, and its task read the pipe once. Ruled out a defect in a handler: no trace in the log. Changed: every signal is read from the pipe, so SIGTERM works after SIGHUP. A reload reads and checks the whole file before anything changes; settings go through the store to core and module (open requests run on, a changed plan's tags move); the watch moves at once and asks from version 0, as another discovery counts its own. RELAY_DISCOVERY no longer hides what the file newly names. A follower takes its writer's new settings up the same way, without a restart.

--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -29,8 +29,12 @@
         print(f"garnetlanding {__version__}")
         return 0
     logs.set_up(args.log_level)
+
+    def read() -> config.Config:
+        return config.load(args.config, args.operator)
+
     try:
-        settings = config.load(args.config, args.operator)
+        settings = read()
     except config.ConfigError as problem:
         print(f"garnetlanding: {problem}", file=sys.stderr)
         return 2
@@ -40,7 +44,7 @@
     from garnetlanding.daemon import Daemon  # not needed, and not paid for, by the other commands
 
     try:
-        return Daemon(settings).run()
+        return Daemon(settings, read_again=read).run()
     except (OSError, FileError) as problem:
         print(f"garnetlanding: cannot serve: {problem}", file=sys.stderr)
         return 1
--- a/garnetlanding/config.py
+++ b/garnetlanding/config.py
@@ -17,6 +17,11 @@
 from garnetlanding.runtime.stream import parse_address
 from garnetlanding.telemetry.exporter import Collector
 
+# What a reload cannot change.
+FIXED = ("name", "listen", "limits", "operator")
+# The platform's variables, and the keys that they stand above.
+ABOVE = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used; the text names the key."""
@@ -55,6 +60,7 @@
     name: str
     listen: str
     discovery: str
+    file_discovery: str  # as the file has it, whatever stands above it: a reload looks for a change of this
     seed: int
     settings: api.Settings
     raw_settings: dict[str, Any]
@@ -228,10 +234,13 @@
         raise ConfigError(f"key settings: {problem}") from None
 
 
-def read(data: object, operator: object = None) -> Config:
-    """Checks one configuration object, in the platform's form, and an operator's beside it."""
+def read(data: object, operator: object = None, env: Mapping[str, str] | None = None) -> Config:
+    """Checks one configuration object, in the platform's form, and an operator's beside it; what `env`
+    sets stands above the object."""
     if not isinstance(data, dict):
         raise ConfigError("the configuration is not an object")
+    above = {key: env[name] for key, name in ABOVE.items() if env.get(name)} if env else {}
+    file_discovery, data = data.get("discovery", ""), data | above
     top = Section(data, "")
     raw_settings = Section(top.raw("settings"), "settings")._data
     settings = read_settings(raw_settings)
@@ -250,7 +259,7 @@
         limits = _share_with_ninep(limits)
     return Config(
         name=top.text("name"), listen=top.address("listen"), discovery=top.address("discovery"),
-        seed=seed, settings=settings, raw_settings=raw_settings,
+        file_discovery=file_discovery, seed=seed, settings=settings, raw_settings=raw_settings,
         limits=limits, known=known, operator=extras,
     )
 
@@ -260,13 +269,22 @@
     path = path or env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("key RELAY_CONFIG: not set, and no --config given")
-    data = _parse(path, json.loads, "JSON")
-    if isinstance(data, dict):
-        for key, variable in (("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"),
-                              ("discovery", "RELAY_DISCOVERY")):
-            if env.get(variable):
-                data[key] = env[variable]
-    return read(data, _parse(operator, tomllib.loads, "TOML") if operator else None)
+    return read(_parse(path, json.loads, "JSON"),
+                _parse(operator, tomllib.loads, "TOML") if operator else None, env)
+
+
+def reload(old: Config, new: Config) -> tuple[Config, list[str]]:
+    """What a running head goes on with after its file was read anew, and the keys that only a restart
+    takes up. The environment is that of the start: it must not hide an address that the file newly names."""
+    moved = new.file_discovery != old.file_discovery
+    discovery = new.file_discovery if moved else old.discovery
+    try:
+        parse_address(discovery)
+    except (ValueError, AttributeError) as problem:
+        raise ConfigError(f"key discovery: {problem}") from None
+    fixed = [key for key in FIXED if getattr(old, key) != getattr(new, key)]
+    return replace(old, discovery=discovery, file_discovery=new.file_discovery, settings=new.settings,
+                   raw_settings=new.raw_settings), fixed
 
 
 def _parse(path: str, parse: Callable[[str], Any], form: str) -> Any:
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -117,6 +117,12 @@
             self._finish(item, Failed("client left"))
             self._events.append(api.ClientLeft(ticket))
 
+    # From the operator
+
+    def settings_changed(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._events.append(api.NewSettings(settings))
+
     # From the directory
 
     def listed(self, listing: Listing) -> None:
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 
-from garnetlanding.config import Config, Ninep, StoreSetup, read_settings
+from garnetlanding.config import Config, ConfigError, Ninep, StoreSetup, read_settings, reload
 from garnetlanding.core.core import Core
 from garnetlanding.decision.control import Controller
 from garnetlanding.discovery.listing import read_list
@@ -31,8 +31,10 @@
 
 
 class Daemon:
-    def __init__(self, config: Config, clock: Callable[[], int] = monotonic_us) -> None:
-        self.config = config
+    def __init__(self, config: Config, clock: Callable[[], int] = monotonic_us,
+                 read_again: Callable[[], Config] | None = None) -> None:
+        """`read_again` reads and checks the whole configuration anew, for a reload."""
+        self.config, self._read_again = config, read_again
         limits = self.limits = config.limits
         self.scheduler = Scheduler(clock)
         self.pool = BufferPool(limits.buffer_bytes, limits.pool_keep, limits.pool_most)
@@ -47,7 +49,7 @@
         known = newer_list(self.store, config.known)
         keep_list(self.store, known)
         version, listing = read_list(known, lambda us: us - offset, whole=True, at_start=True)
-        self.core.subscriptions = Watch(
+        self.watch = self.core.subscriptions = Watch(
             self.scheduler, config.discovery, self.pool, limits, lambda us: us - offset,
             self.core.listed, self.core.list_failed, lambda data: keep_list(self.store, data), version)
         self.core.listed(listing)
@@ -114,10 +116,36 @@
         return store
 
     def _store_changed(self, entry: Entry | None) -> None:
-        if entry and entry.key == SETTINGS and not self.store.writable:
-            log.warning("settings changed at the writer; a restart takes them up")
-
-    # The end
+        """The store says which settings hold: those of a reload here, or of the writer's."""
+        raw = self.store.get(SETTINGS)
+        if raw is None or (entry and entry.key != SETTINGS):
+            return
+        try:
+            self.core.settings_changed(read_settings(raw))
+        except ConfigError as problem:
+            log.error("settings not taken, the old ones stand", extra={"kv": {"why": problem}})
+        else:
+            log.info("settings taken")
+
+    # Signals
+
+    def reload(self) -> None:
+        """Nothing changes before the whole file has been read and found sound; open requests run on."""
+        if self._read_again is None:
+            return
+        try:
+            config, fixed = reload(self.config, self._read_again())
+        except ConfigError as problem:
+            log.error("reload turned away, the old configuration stands", extra={"kv": {"why": problem}})
+            return
+        old, self.config = self.config, config
+        log.info("reloaded", extra={"kv": {"discovery": config.discovery,
+                                           "for_a_restart": ",".join(fixed) or "nothing"}})
+        if self.store.writable:
+            self.store.put(SETTINGS, config.raw_settings)
+        if config.discovery != old.discovery:
+            # Not at the module's next asking: what the new discovery has to tell counts as told soon.
+            self.watch.move(config.discovery)
 
     def _catch_signals(self) -> None:
         """Signals wake the poll through a pipe; a handler does nothing else."""
@@ -125,14 +153,18 @@
         for fd in (reader, writer):
             os.set_blocking(fd, False)
         signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
+        self.scheduler.spawn(lambda: self._heed(reader))
 
-        def body() -> None:
+    def _heed(self, reader: int) -> None:
+        """Acts on each signal that comes through the pipe, one byte each; the first that ends is the last."""
+        while True:
             self.scheduler.wait(reader, READ)
-            self.end()
-
-        self.scheduler.spawn(body)
+            for number in os.read(reader, self.limits.signal_bytes):
+                if number != signal.SIGHUP:
+                    return self.end()
+                self.reload()
 
     def end(self) -> None:
         """Takes new connections while they keep coming, finishes what was taken, then stops."""
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -78,21 +78,25 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(LOG_LINES, settings.budget_span_us)
-        self.s = settings
         self.rng = random.Random(seed)
-        self.tightest = min(c.aim_us for c in settings.classes.values())
-        self.dearest = max(c.worth for c in settings.classes.values()) * max(
-            p.price for p in settings.plans.values())
+        self._follow(settings)
         self.overdue = float(self.tightest)  # after so long most answers have come, over all nodes
         self.lost_share = 0.0  # of answers, over all nodes that do answer
         self.copies = COPY_MOST
-        self.crowd = max(0.0, 1 - DEPTH_FLOOR / max(1, settings.hosts))  # how far depths can't hold a node
         self.list_backoff = LIST_BACKOFF
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.NodeList: self._on_list, api.Arrival: self._on_arrival, api.Result: self._on_result,
             api.ClientLeft: self._on_left, api.StreamStarted: self._on_stream,
+            api.NewSettings: self._on_settings,
         }
 
+    def _follow(self, settings: api.Settings) -> None:
+        self.s = settings
+        self.tightest = min(c.aim_us for c in settings.classes.values())
+        self.dearest = max(c.worth for c in settings.classes.values()) * max(
+            p.price for p in settings.plans.values())
+        self.crowd = max(0.0, 1 - DEPTH_FLOOR / max(1, settings.hosts))  # how far depths can't hold a node
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         self.begin(now)
         for event in events:
@@ -105,6 +109,15 @@
                 self.look_at(node, self.now + HOLD_TICK)
         return self.finish()
 
+    def _on_settings(self, e: api.NewSettings) -> None:
+        """A volume whose plan has changed starts from its new figures; its tags move with its weight."""
+        self._follow(e.settings)
+        for name, volume in self.volumes.items():
+            plan = self.s.plans.get(volume.plan.name, volume.plan)
+            if plan != volume.plan:
+                self._plan_volume(volume, plan)
+                self._reweigh(name, volume, plan.weight)
+
     def _on_list(self, e: api.NodeList) -> None:
         if e.failed:
             # The subscription may be what broke, and silence counts as being told: always ask again.
@@ -161,15 +174,18 @@
             self._hold(r)
 
     def _new_volume(self, e: api.Arrival, plan: api.PlanSpec) -> Volume:
-        part = max(1, e.volume_hosts)
+        volume = self.volumes[e.volume] = Volume(plan.weight, plan, max(1, e.volume_hosts))
+        self._plan_volume(volume, plan)
+        return volume
+
+    def _plan_volume(self, volume: Volume, plan: api.PlanSpec) -> None:
+        volume.plan, part = plan, volume.hosts
         limit_rate, burst = (plan.limit_rate or UNLIMITED) / part, (plan.limit_burst or UNLIMITED) / part
         # A restarted host can't know what its earlier life spent: it starts with one request's worth.
         level = min(burst, self.s.most_units if plan.limit_rate else burst)
-        limit = Bucket(limit_rate, burst, self.now, level)
+        volume.limit = Bucket(limit_rate, burst, self.now, level)
         most = plan.reserve_rate / part + self.s.most_units
-        reserve = Bucket(plan.reserve_rate / part, most, self.now, most)
-        self.volumes[e.volume] = Volume(plan.weight, plan, limit, reserve)
-        return self.volumes[e.volume]
+        volume.reserve = Bucket(plan.reserve_rate / part, most, self.now, most)
 
     def _on_left(self, e: api.ClientLeft) -> None:
         if (r := self.requests.get(e.request)) and not r.over:
@@ -256,10 +272,14 @@
             plan = volume.plan.weight
             weight = volume.weight * (100 / max(volume.used, 1)) ** WEIGHT_GAIN
             weight = min(plan * WEIGHT_CLAMP, max(plan / WEIGHT_CLAMP, weight))
-            volume.used, volume.weight = None, weight
-            for node in self.nodes.values():
-                if name in node.flows:
-                    retag(node.flows[name], node.v, weight)
+            volume.used = None
+            self._reweigh(name, volume, weight)
+
+    def _reweigh(self, name: str, volume: Volume, weight: float) -> None:
+        volume.weight = weight
+        for node in self.nodes.values():
+            if name in node.flows:
+                retag(node.flows[name], node.v, weight)
 
     def _depth(self, h: Health) -> float:
         """Little's law on served completions; slow answers narrow it below the floor (a departure)."""
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -109,6 +109,13 @@
 # Events
 
 
+@dataclass(slots=True, frozen=True)
+class NewSettings:
+    """The operator's settings have changed; what was taken before goes on as it was taken."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class NodeList:
     """The list or its changes; failed: a call or the subscription broke, the old list stands."""
@@ -176,7 +183,8 @@
     payload: bytes
 
 
-Event = NodeList | Arrival | StreamStarted | Result | ClientLeft | WokeUp | ProbeResult | PeerMessage
+Event = (NewSettings | NodeList | Arrival | StreamStarted | Result | ClientLeft | WokeUp | ProbeResult
+         | PeerMessage)
 
 
 # Actions
--- a/garnetlanding/decision/state.py
+++ b/garnetlanding/decision/state.py
@@ -92,8 +92,9 @@
 class Volume:
     weight: float
     plan: api.PlanSpec
-    limit: Bucket
-    reserve: Bucket
+    hosts: int  # that its requests come through
+    limit: Bucket = field(init=False)
+    reserve: Bucket = field(init=False)
     used: int | None = None  # latest fleet figure, percent
     held_units: float = 0.0
 
--- a/garnetlanding/discovery/watch.py
+++ b/garnetlanding/discovery/watch.py
@@ -72,6 +72,11 @@
         self._stream: Stream | None = None
         self._calls = 0
 
+    def move(self, address: str) -> None:
+        """Follows another discovery from now on. What one counted as versions means nothing to the next."""
+        self._address, self._version = address, 0
+        self.subscribe()
+
     def subscribe(self) -> None:
         self._calls += 1
         call = self._calls
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -81,6 +81,8 @@
     telemetry_last_us: int = SECOND  # for the last round at the end
     telemetry_answer_us: int = 5 * SECOND
 
+    signal_bytes: int = 64  # signals read at once
+
     # SIGTERM: new connections keep coming for up to 0.4 s. They are taken for at least so long, then until
     # none has come for `term_quiet_us`; what comes later than `term_most_us` could be lost to SIGKILL.
     term_look_us: int = 10 * MS
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,7 +4,9 @@
 
 import json
 import logging
+import os
 import pathlib
+import signal
 from typing import Any
 
 import pytest
@@ -17,6 +19,8 @@
 from garnetlanding.ninep import codec as p9
 from garnetlanding.store.file import load
 from garnetlanding.store.known import SERVERS
+from garnetlanding.store.known import SETTINGS as SETTINGS_KEY
+from garnetlanding.store.store import Entry, Snapshot
 from tests.helpers import MS, SECOND, T0, Peer, World, read_command
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -132,11 +136,14 @@
         port = int(self.files.address.rpartition(":")[2])
         if operator and "ninep" in operator:
             operator["ninep"] = NINEP | {"server_port": port}
-        self.daemon = Daemon(config.read(BASE | {"discovery": self.discovery.address, "settings": settings},
-                                         operator), lambda: self.time)
+        self.file = BASE | {"discovery": self.discovery.address, "settings": settings}
+        self.daemon = Daemon(self.read(operator), lambda: self.time, self.read)
         self.daemon.start()
         self.settle()
 
+    def read(self, operator: dict[str, Any] | None = None) -> config.Config:
+        return config.read(self.file, operator, {"RELAY_DISCOVERY": self.discovery.address})
+
     def settle(self) -> None:
         quiet = 0
         while quiet < 3:
@@ -184,6 +191,86 @@
     assert busy.got == b"$0\r\n\r\n" and busy.closed and h.daemon.scheduler._stopped
 
 
+def test_a_reload_follows_the_new_discovery_at_once_while_requests_run_on() -> None:
+    h = Head()
+    h.brick.script = [None]
+    client = h.client()
+    client.say(read_command(d=1400))
+    second = h.server(Discovery)
+    second.boxes = [Box("b0", h.brick.address, 0), Box("b1", h.brick.address, 1)]
+    # The environment still has the old address: it must not hide what the file newly says.
+    h.file = h.file | {"discovery": second.address}
+    h.daemon.reload()
+    h.settle()
+    assert second.calls == ["/v1/servers?follow=1&since=0"], "another's versions mean nothing here"
+    assert not h.discovery.conns and h.daemon.core.directory.endpoint("b1")
+    h.brick.release()
+    h.settle()
+    assert client.got == b"$0\r\n\r\n" and not client.closed
+    h.daemon.reload()
+    h.settle()
+    assert len(second.calls) == 1, "nothing new in the file: the watch goes on"
+
+
+def test_a_reload_takes_up_new_settings_through_the_store() -> None:
+    h = Head()
+    h.file = h.file | {"listen": "127.0.0.1:1", "settings": SETTINGS | {"Classes": [
+        SETTINGS["Classes"][0] | {"Name": "scan"}]}}
+    h.daemon.reload()
+    h.settle()
+    assert h.client().say(read_command(cls="scan")) == b"$0\r\n\r\n"
+    assert h.client().say(read_command()) == b"-ERR unknown class\r\n"
+    assert h.daemon.store.get(SETTINGS_KEY)["Classes"][0]["Name"] == "scan"
+
+
+@pytest.mark.parametrize("change, key", [
+    ({"discovery": "nowhere"}, "key discovery"), ({"settings": {}}, "key settings"),
+    ({"seed": "x"}, "key seed"),
+])
+def test_a_bad_file_is_logged_and_the_old_stands(
+    change: dict[str, Any], key: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    h = Head()
+    before, calls = h.daemon.config, len(h.discovery.calls)
+    h.file = h.file | {"discovery": "127.0.0.1:9"} | change
+    h.daemon.reload()
+    h.settle()
+    [record] = [r for r in caplog.records if "turned away" in r.message]
+    assert key in str(record.__dict__["kv"]["why"]) and h.daemon.config is before
+    assert len(h.discovery.calls) == calls and h.client().say(read_command()) == b"$0\r\n\r\n"
+
+
+def test_a_signal_to_end_still_works_after_one_to_reload() -> None:
+    """SIGHUP had no handler and ended the process; the signal pipe was read for the end alone."""
+    numbers = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
+    old = [signal.getsignal(n) for n in numbers]
+    try:
+        h = Head()
+        h.daemon._catch_signals()
+        second = h.server(Discovery)
+        h.file = h.file | {"discovery": second.address}
+        os.kill(os.getpid(), signal.SIGHUP)
+        h.settle()
+        assert len(second.calls) == 1 and not h.daemon.scheduler._stopped
+        os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGTERM)
+        h.run(SECOND, 50 * MS)
+        assert h.daemon.scheduler._stopped
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, handler in zip(numbers, old, strict=True):
+            signal.signal(number, handler)
+
+
+def test_a_follower_takes_up_what_its_writer_changes(caplog: pytest.LogCaptureFixture) -> None:
+    h = Head({"store": {"role": "follower", "writer": "n0", "address": "127.0.0.1:9"}})
+    theirs = SETTINGS | {"Limits": SETTINGS["Limits"] | {"MaxAttempts": 2}}
+    h.daemon.store.restore(Snapshot(5, 1, {SETTINGS_KEY: theirs}))
+    assert h.daemon.core._settings.max_attempts == 2
+    h.daemon.store.apply(5, Entry(2, SETTINGS_KEY, {}))
+    assert h.daemon.core._settings.max_attempts == 2 and "settings not taken" in caplog.text
+
+
 def test_a_restarted_head_knows_its_list_and_settings_from_its_store(tmp_path: pathlib.Path) -> None:
     path = str(tmp_path / "store.json")
     operator = {"store": {"role": "alone", "file": path}}
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from garnetlanding.decision import interface as api
 from tests.helpers import MS, SECOND, Bench, names, settings, up
 
@@ -41,6 +43,16 @@
     assert drain(b, 6) == ["g0", "t0", "g1", "g2", "g3", "t1"]
 
 
+def test_a_plan_changed_by_the_operator_moves_the_tags_of_what_is_held() -> None:
+    b = filled()
+    for name in ("g0", "g1", "t0", "t1"):
+        b.ask(name, volume=name[0], plan={"g": "gold", "t": "tin"}[name[0]], units=2)
+    plans = b.c.s.plans | {"tin": replace(b.c.s.plans["tin"], weight=8.0)}
+    b.tell(api.NewSettings(replace(b.c.s, plans=plans)))
+    # t: 0.75, 1.0 where 0.75, 2.75 were; g stays at 0.75, 1.25.
+    assert drain(b, 4) == ["g0", "t0", "t1", "g1"]
+
+
 def test_larger_requests_pay_more() -> None:
     b = filled()
     b.ask("big0", volume="big", units=6)
