Serve a good answer with more behind it; tell spoilt answers apart and bound them in time

Checked with counts and shapes in a probe's log: BrickMachine.feed took the attempt off before it looked at what stood behind, so a whole good answer became a reset and its work was done twice; a Simple of noise was an ERROR whose connection went back to the idle ones (read_reply's last line); 0.4% of the attempts stayed out until their client's time was up, on answers begun and never ended. A good answer is always an array of three, whole at most 7 ms after its first byte. Ruled out: time-outs teaching the module a wrong pace, there were none, what is stuck ends as cancelled. Changed: resp/brick.py serves the whole answer and closes; anything but the protocol's forms is a spoilt answer (reset, connection closed); an answer begun must be whole within 100 ms, whatever keeps coming; a use figure counts only as plain digits up to 100,000 and told once. One log line a second for all of it. Looked at in 9P: its client already serves the first message and gives the connection up on a second.

--- a/example/toy.py
+++ b/example/toy.py
@@ -45,12 +45,14 @@
                  machine: type[Toy] | None = None) -> None:
         self.pool, self.limits = pool, limits
         self.conns: list[Toy] = []
+        self.accepted = 0
         self.listener = Listener(scheduler, address, pool, limits, 256, self._make)
         self.address = self.listener.address
 
     machine: type[Toy]
 
     def _make(self, write: Write) -> Toy:
+        self.accepted += 1
         self.conns.append(self.machine(self, write))
         return self.conns[-1]
 
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -31,6 +31,8 @@
     nesting: int = 4
     pipeline: int = 64  # unanswered commands of one client connection
 
+    use_percent: int = 100_000  # no volume uses its plan's rate a thousand times over
+
     # 9P.
     ninep_conns: int = 108  # clients
     ninep_server_conns: int = 80
@@ -54,6 +56,7 @@
     accept_pause_us: int = 10 * MS  # when no connection can be taken
     parked_look_us: int = 500 * MS  # a paused connection looks at its client this often
     write_stall_us: int = 5 * SECOND  # a peer that takes no byte for this long is cut off
+    half_answer_us: int = 100 * MS  # a server's answer begun must be whole by then
     half_command_us: int = 10 * SECOND  # a command begun must be whole by then
 
     # Discovery.
--- a/garnetlanding/ninep/client.py
+++ b/garnetlanding/ninep/client.py
@@ -66,6 +66,10 @@
         except codec.FrameError as problem:
             raise PeerFault(problem) from None
 
+    @property
+    def midway(self) -> bool:
+        return self._framer.midway
+
     def suits(self, trial: Trial) -> bool:
         work = trial.work
         return isinstance(work, Read) and (work.path, work.mode) in self._session.open
--- a/garnetlanding/resp/brick.py
+++ b/garnetlanding/resp/brick.py
@@ -20,32 +20,30 @@
 log = logging.getLogger(__name__)
 
 
-def read_use(text: bytes) -> int:
-    """The controller's figure (1 + percent) from `used=37,cost=4`; 0 where it is not told."""
-    for pair in text.split(b","):
-        name, _, value = pair.partition(b"=")
-        if name == b"used":
-            try:
-                return int(float(value)) + 1
-            except (ValueError, OverflowError):
-                return 0
-    return 0
-
-
-def read_reply(reply: codec.Value) -> tuple[Outcome, bytes | None, int]:
-    """Outcome, value and use that one answer of a brick means."""
+def read_use(figures: codec.Value, most: int) -> int:
+    """The controller's figure (1 + percent) from `used=37,cost=4`; 0 where it is not told. A figure that
+    cannot be read, or that no volume reaches, counts as not told: it would steer the volume's weight."""
+    if not isinstance(figures, bytes):
+        return 0
+    told = [value for name, _, value in (p.partition(b"=") for p in figures.split(b",")) if name == b"used"]
+    if len(told) != 1 or not told[0].isdigit() or len(told[0]) > len(str(most)) or int(told[0]) > most:
+        return 0
+    return int(told[0]) + 1
+
+
+def read_reply(reply: codec.Value, most_use: int) -> tuple[Outcome, bytes | None, int]:
+    """Outcome, value and use that one answer of a brick means. Raises PeerFault for what no brick says:
+    the attempt may have run, and nothing that comes after it on that connection can be trusted."""
     match reply:
-        case [bytes() as value, *rest]:
-            use = rest[0] if rest else None
-            return Outcome.SERVED, value, read_use(use) if isinstance(use, bytes) else 0
+        case [bytes() as value, figures, _]:
+            return Outcome.SERVED, value, read_use(figures, most_use)
         case codec.Error(text):
             words = text.split()
             if words[:1] == [b"BUSY"]:
                 return Outcome.FULL, None, 0
-            if words[:1] == [b"SYNTAX"]:
-                log.error("brick could not read a command")
-            return Outcome.ERROR, None, read_use(words[-1]) if words else 0
-    return Outcome.ERROR, None, 0
+            if words[:1] in ([b"ERR"], [b"SYNTAX"]):
+                return Outcome.ERROR, None, read_use(words[-1], most_use)
+    raise PeerFault("spoilt answer")
 
 
 class BrickMachine:
@@ -54,9 +52,13 @@
     def __init__(self, scheduler: Timers, pool: BufferPool, limits: Limits, write: Callable[[bytes], None],
                  done: Callable[[], None]) -> None:
         self._timers, self._write, self._done = scheduler, write, done
-        self._decoder = codec.Decoder(pool, limits)
+        self._decoder, self._most_use = codec.Decoder(pool, limits), limits.use_percent
         self._trial: Trial | None = None
 
+    @property
+    def midway(self) -> bool:
+        return self._decoder.midway
+
     def begin(self, trial: Trial) -> None:
         self._trial = trial
         self._write(trial.work.for_brick(trial.until_us - self._timers.now))
@@ -67,10 +69,14 @@
             if self._trial is None:
                 raise PeerFault("answer to nothing")
             for reply in self._decoder.feed(data):
-                trial, self._trial = self._trial, None
-                if trial is None or self._decoder.midway:
+                if self._trial is None:
                     raise PeerFault("more than one answer")
-                trial.ended(*read_reply(reply))
+                trial, meaning = self._trial, read_reply(reply, self._most_use)
+                self._trial = None
+                # A whole answer counts whatever stands behind it: with one attempt out, it is that one's.
+                trial.ended(*meaning)
+                if self._decoder.midway:
+                    raise PeerFault("more behind an answer")
                 self._done()
         except codec.ProtocolError as problem:
             raise PeerFault(problem) from None
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
@@ -33,6 +34,10 @@
 
     def feed(self, data: bytes | memoryview) -> None: ...
 
+    @property
+    def midway(self) -> bool:
+        """Part of a message has come."""
+
     def suits(self, trial: Trial) -> bool:
         """Whether this connection, of several that are free, would serve the attempt better."""
 
@@ -63,10 +68,18 @@
                 upstream.scheduler, self.key[0], upstream.pool, upstream.limits, deadline)
             self._stream.on_broken = self.close
             self.begin(trial)
-            while not self.closed and self._stream.read(self.machine.feed):
-                pass
+            whole_by: int | None = None
+            while not self.closed and self._stream.read(self.machine.feed, whole_by):
+                # A server writes an answer at once: part of one, and then nothing or more without an end,
+                # would hold the attempt until its client gives up.
+                if not self.machine.midway:
+                    whole_by = None
+                elif whole_by is None:
+                    whole_by = upstream.scheduler.now + upstream.limits.half_answer_us
+                elif upstream.scheduler.now >= whole_by:
+                    raise PeerFault("half an answer")
         except PeerFault as fault:
-            log.warning("server connection given up", extra={"kv": {"server": self.key[0], "why": fault}})
+            upstream.faults[self.key[0], str(fault)] += 1
         except (OSError, Expired, Closed):
             pass
         finally:
@@ -128,6 +141,7 @@
         self._idle: dict[Key, list[Connection]] = {}
         self._busy: dict[Trial, Connection] = {}
         self.count = 0
+        self.faults: Counter[tuple[str, str]] = Counter()  # by server and cause, since the last sweep
         scheduler.call_at(scheduler.now + limits.sweep_us, self._sweep)
 
     def allows(self, trial: Trial, key: Key) -> bool:
@@ -191,6 +205,11 @@
         """Closes idle connections before the server does: a request that crosses its close would be lost.
         Also those busy for longer than any attempt: the server owes them something and says nothing."""
         self.scheduler.call_at(self.scheduler.now + self.limits.sweep_us, self._sweep)
+        if self.faults:
+            server, why = self.faults.most_common(1)[0][0]
+            log.warning("server connections given up", extra={"kv": {
+                "count": self.faults.total(), "most_at": server, "mostly": why}})
+            self.faults.clear()
         stuck = self.scheduler.now - self.limits.client_wait_us - self.limits.sweep_us
         for conn in [c for conns in self._conns.values() for c in conns if c.began_at <= stuck]:
             if conn not in self._idle.get(conn.key, ()):
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -106,16 +106,65 @@
 
 @pytest.mark.parametrize("reply, meaning", [
     ([b"v", b"used=37,cost=4", None], (Outcome.SERVED, b"v", 38)),
-    ([b"v", None, None], (Outcome.SERVED, b"v", 0)), ([b"v", b"used=x"], (Outcome.SERVED, b"v", 0)),
-    ([None, None, None], (Outcome.ERROR, None, 0)),
+    ([b"v", None, None], (Outcome.SERVED, b"v", 0)), ([b"v", b"cost=4", None], (Outcome.SERVED, b"v", 0)),
     (codec.Error(b"ERR failed used=5"), (Outcome.ERROR, None, 6)),
-    (codec.Error(b""), (Outcome.ERROR, None, 0)),
-    (codec.Error(b"BUSY"), (Outcome.FULL, None, 0)), (codec.Simple(b"OK"), (Outcome.ERROR, None, 0)),
+    (codec.Error(b"BUSY"), (Outcome.FULL, None, 0)), (codec.Error(b"SYNTAX"), (Outcome.ERROR, None, 0)),
+    # A figure that cannot be read fails only itself: it must not steer weights.
+    *(([b"v", use, None], (Outcome.SERVED, b"v", 0)) for use in (
+        b"used=x", b"used=nan", b"used=-5", b"used=1e9", b"used=999999", b"used=" + b"9" * 5000,
+        b"used=1,used=2", b"\xff", 7, [b"used=3"])),
+    ([b"v", b"used=8", b"\xff{"], (Outcome.SERVED, b"v", 9)),
 ])
 def test_what_a_brick_says_and_what_it_means(
     reply: codec.Value, meaning: tuple[Outcome, bytes | None, int]
 ) -> None:
-    assert read_reply(reply) == meaning
+    assert read_reply(reply, LIMITS.use_percent) == meaning
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"+j`\x8d\r\n", b":5\r\n", b"$-1\r\n", b"-\r\n", b"-noise\r\n", b"*1\r\n$1\r\nv\r\n", b"*-1\r\n",
+    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"*3\r\n$9\r\nv\r\n$-1\r\n$-1\r\n", b"*3\r\n$-7\r\n", b"?!\r\n",
+    b"*3\r\n$3221225472\r\nvvv", b"+" + b"x" * 600, b"*3\r\n$5\r\nv\r\n", b"-ERR no end",
+])
+def test_a_spoilt_answer_may_have_run_and_its_connection_is_not_used_again(spoilt: bytes) -> None:
+    """Some are still being sent, or wait for what never comes: they must not hold the attempt for good."""
+    w = World()
+    brick = w.server(Brick)
+    w.list(Box("b0", brick.address, 0))
+    brick.data[b"k"], brick.script = b"value", [spoilt]
+    peer = w.peer(w.front().address)
+    peer.say(read_command())
+    w.run(w.limits.half_answer_us)
+    assert w.core.starts[0].outcome is Outcome.RESET
+    w.run(100 * MS)
+    assert peer.got == codec.bulk(b"value") and len(brick.heard) == brick.accepted == 2
+
+
+def test_part_after_part_of_an_answer_without_an_end_is_given_up_too() -> None:
+    w = World()
+    brick = w.server(Brick)
+    w.list(Box("b0", brick.address, 0))
+    brick.script = [b"*3\r\n$60000\r\n"]
+    w.peer(w.front().address).say(read_command())
+    for _ in range(w.limits.half_answer_us // (10 * MS)):
+        assert w.core.starts[0].outcome is None
+        w.run(10 * MS)
+        for conn in list(brick.conns):
+            conn.write(b"x")
+        w.settle()
+    assert w.core.starts[0].outcome is Outcome.RESET
+
+
+@pytest.mark.parametrize("behind", [b"noise", b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", b"\r\n"])
+def test_a_good_answer_with_more_behind_it_is_served_and_its_connection_closed(behind: bytes) -> None:
+    """It was thrown away with its connection, and the work done a second time."""
+    w = World()
+    brick = w.server(Brick)
+    w.list(Box("b0", brick.address, 0))
+    brick.script = [b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n" + behind]
+    peer = w.peer(w.front().address)
+    assert peer.say(read_command()) == codec.bulk(b"value")
+    assert not brick.conns and len(brick.heard) == 1
 
 
 def test_a_value_longer_than_many_buffers_passes_whole() -> None:
