Turn rude clients away in time, bound what each may take, draw limits from the memory

Checked in the code and with tests that fail without this: memory_mb under 64 was turned away and pool, items, queues and log had fixed sizes (config._limits); a silent client stayed for good, half a command 10 s; hundreds of commands at once were parked and answered; ids were not checked for being there or open elsewhere, fields could be there twice; a close with input unread resets the connection. Changed: Limits.fit draws sizes from memory and descriptors. The listener, for both fronts: a first command must be whole 2.5 s after connecting, others 2.5 s after they began; with no place free, who is silent or half way for 0.1 s gives way, then who is idle for 2 s; after something bad a connection is not read for 0.2 s; before a close what still comes is read for a while. RESP2: more than 64 commands or 8 errors turn the connection away with all it has open. The core turns away shards, units and hosts that cannot be.

--- a/example/toy.py
+++ b/example/toy.py
@@ -26,8 +26,9 @@
 
     def __init__(self, server: Server, write: Write) -> None:
         self.server, self.write = server, write
-        self.ended = self.full = self.session = False
-        self.owed = 0
+        self.ended = self.session = False
+        self.owed = self.bad = 0
+        self.taken = 1  # a server whose clients may take their time
         self.midway = False
 
     def feed(self, data: bytes | memoryview) -> None:
--- a/garnetlanding/config.py
+++ b/garnetlanding/config.py
@@ -97,8 +97,8 @@
 def _share_with_ninep(limits: Limits) -> Limits:
     """9P's connections come out of the same descriptors."""
     clients, servers = limits.client_conns // 5, limits.brick_conns // 5
-    return replace(limits, ninep_conns=clients, client_conns=limits.client_conns - clients,
-                   ninep_server_conns=servers, brick_conns=limits.brick_conns - servers)
+    return replace(limits, ninep_conns=clients, client_conns=limits.client_conns - clients - servers,
+                   ninep_server_conns=servers)
 
 
 class Section:
@@ -151,17 +151,14 @@
 
 
 def _limits(data: Section, pairs: Mapping[str, str]) -> Limits:
-    """The platform's figures decide how many connections there may be and how long they may idle."""
+    """The platform's figures decide how much of everything there may be, and how long connections idle."""
     given = Section(data.raw("limits") or {}, "limits")
-    sockets = int(given.number("sockets", 64, 1024))
-    memory_mb = given.number("memory_mb", 64, 192)
-    base = Limits()
-    usable = min(sockets, 4096) - 48  # the rest: listeners, discovery, telemetry, files
+    sockets = int(given.number("sockets", 128, 1024))
+    memory_mb = given.number("memory_mb", 32, 192)
+    base = Limits().fit(int(memory_mb * (1 << 20)), sockets)
     idle_us = int(float(pairs.get("Limits.ConnIdleUs", 0))) or base.brick_idle_us * 5 // 4
     return replace(
         base,
-        client_conns=int(usable * 0.58), brick_conns=int(usable * 0.42),
-        open_bytes=int(min(base.open_bytes, memory_mb * (1 << 20) / 6)),
         brick_idle_us=idle_us * 4 // 5,
         dial_us=int(float(pairs.get("Limits.DialTimeoutUs", 0))) or base.dial_us,
     )
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -23,6 +23,7 @@
     Subscriptions,
     Timer,
     Timers,
+    Unfit,
 )
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.control import Controller
@@ -89,17 +90,16 @@
     # From fronts
 
     def accept(self, ask: Ask, backend: Backend, answered: Answered) -> str:
-        """Takes an item; `answered` is called exactly once, unless the client leaves first."""
+        """Takes an item; `answered` is called exactly once, unless the client leaves first. Raises Unfit
+        for what the settings have no place for: it would spoil what the module keeps for others."""
+        if why := self._unfit(ask):
+            raise Unfit(why)
         self._count += 1
         item = Item(f"i{self._count}", ask, backend, answered, self._timers.now)
         self.open += 1
         self._open_bytes += ask.size
         self._items[item.ticket] = item
-        if ask.cls not in self._settings.classes:
-            self._finish(item, Failed("unknown class"))
-        elif ask.plan not in self._settings.plans:
-            self._finish(item, Failed("unknown plan"))
-        elif self.open > self._limits.open_items or self._open_bytes > self._limits.open_bytes:
+        if self.open > self._limits.open_items or self._open_bytes > self._limits.open_bytes:
             # The head's own room, not a server's: the one refusal that is not the controller's.
             self._finish(item, Refused(self._settings.max_hold_off_us))
         else:
@@ -109,14 +109,31 @@
                 ask.volume_hosts, ask.is_retry, ask.is_write))
         return item.ticket
 
-    def left(self, ticket: str) -> None:
-        """The client has gone away: nobody is owed an answer any more."""
+    def _unfit(self, ask: Ask) -> str:
+        settings = self._settings
+        if ask.cls not in settings.classes:
+            return "unknown class"
+        if ask.plan not in settings.plans:
+            return "unknown plan"
+        if settings.cells and ask.cell >= settings.cells:
+            return "unknown shard"
+        if ask.units > settings.most_units:
+            return "more units than the largest request has"
+        return "more hosts than there are" if ask.volume_hosts > settings.hosts else ""
+
+    def turn_away(self, ticket: str, why: str) -> None:
+        """The client is told at once that this is not done, whatever is out for it."""
         item = self._items.get(ticket)
         if item and item.answer is None:
-            item.answered = lambda _: None
-            self._finish(item, Failed("client left"))
+            self._finish(item, Failed(why))
             self._events.append(api.ClientLeft(ticket))
 
+    def left(self, ticket: str) -> None:
+        """The client has gone away: nobody is owed an answer any more."""
+        if item := self._items.get(ticket):
+            item.answered = lambda _: None
+        self.turn_away(ticket, "client left")
+
     # From the operator
 
     def settings_changed(self, settings: api.Settings) -> None:
--- a/garnetlanding/core/ports.py
+++ b/garnetlanding/core/ports.py
@@ -27,6 +27,10 @@
     size: int = 0  # bytes held while it is open
 
 
+class Unfit(ValueError):
+    """A request that can never be taken; the text says why."""
+
+
 @dataclass(frozen=True, slots=True)
 class Served:
     value: Any
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -67,8 +67,12 @@
 
     def start(self) -> None:
         config, limits = self.config, self.limits
-        self._listen("RESP2", config.listen, limits.client_conns,
-                     lambda write: RespMachine(self.core, self.bricks, self.pool, limits, write))
+        ids: set[bytes] = set()
+        front = self._listen("RESP2", config.listen, limits.client_conns, lambda write: RespMachine(
+            self.core, self.bricks, self.pool, limits, ids, write))
+        # Clients and bricks share descriptors: what bricks do not need takes clients.
+        front.lent = lambda: max(0, self.bricks.count - limits.brick_conns_kept)
+        self.bricks.borrow = front.lend
         if config.operator.ninep:
             self._start_ninep(config.operator.ninep)
         if config.operator.store.role == "writer":
@@ -79,10 +83,11 @@
         if config.operator.telemetry:
             self._start_telemetry()
 
-    def _listen(self, what: str, address: str, most: int, make: Callable[[Write], ClientMachine]) -> None:
+    def _listen(self, what: str, address: str, most: int, make: Callable[[Write], ClientMachine]) -> Listener:
         listener = Listener(self.scheduler, address, self.pool, self.limits, most, make)
         self.listeners.append(listener)
         log.info("listening", extra={"kv": {"name": self.config.name, "for": what, "at": listener.address}})
+        return listener
 
     def _start_ninep(self, ninep: Ninep) -> None:
         servers = file_servers(self.scheduler, self.pool, self.limits, ninep.server_port)
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -94,6 +94,7 @@
     share_worth: float
     spare_worth: float
     most_units: float
+    cells: int = 0  # how many there are; 0: not told
 
 
 @dataclass(slots=True, frozen=True)
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MS = 1_000
 SECOND = 1_000_000
@@ -10,13 +10,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Times are microseconds, sizes bytes. The defaults fit the platform's 192 MB and 1,024 descriptors."""
-
-    # Descriptors: what clients and bricks may hold together leaves some for the rest.
-    client_conns: int = 540
-    brick_conns: int = 400
+    """Times are microseconds, sizes bytes. The defaults fit the platform's 192 MB and 1,024 descriptors;
+    `fit` gives those of another machine."""
+
+    program_bytes: int = 20 << 20  # what the program takes by itself
+    item_bytes: int = 6 << 10  # what an open item takes in core and module, without what it carries
+    record_bytes: int = 1 << 10  # what an entry of a log or a queue takes
+
+    # Descriptors. Clients with requests hold a third at most, so bricks need no more than that; a sixth is
+    # always theirs. All the rest takes clients, as long as bricks do not need it: some ask nothing, or once.
+    spare_sockets: int = 32  # listeners, discovery, signals, telemetry, followers, files
+    client_conns: int = 822
+    brick_conns: int = 341
+    brick_conns_kept: int = 170
     brick_conns_each: int = 48
     backlog: int = 512
+    accept_turn: int = 32  # connections taken in one turn of the loop
 
     # Buffers.
     buffer_bytes: int = 8192
@@ -29,7 +38,9 @@
     value_bytes: int = 65536
     elements: int = 16
     nesting: int = 4
-    pipeline: int = 64  # unanswered commands of one client connection
+    name_bytes: int = 64  # of a piece, an id or a volume
+    pipeline: int = 64  # unanswered commands of one client connection; one with more is turned away
+    bad_commands: int = 8  # of one connection; one with more is turned away
 
     use_percent: int = 100_000  # no volume uses its plan's rate a thousand times over
 
@@ -55,9 +66,16 @@
     sweep_us: int = SECOND  # between looks for idle connections
     accept_pause_us: int = 10 * MS  # when no connection can be taken
     parked_look_us: int = 500 * MS  # a paused connection looks at its client this often
+    bad_pause_us: int = 200 * MS  # a connection is not read for so long after something bad
+    # Before a close, what still comes is read for so long and so far: a reset could take the last answer.
+    linger_us: int = 500 * MS
+    linger_bytes: int = 256 << 10
+    # From connecting for the first command, from its own first byte for others: 3 s are allowed.
+    command_us: int = 2500 * MS
+    new_us: int = 100 * MS  # without room, one that has said nothing or half a command so long is closed
+    idle_us: int = 2 * SECOND  # without room, one that has asked nothing for so long is closed
     write_stall_us: int = 5 * SECOND  # a peer that takes no byte for this long is cut off
     half_answer_us: int = 100 * MS  # a server's answer begun must be whole by then
-    half_command_us: int = 10 * SECOND  # a command begun must be whole by then
 
     # Discovery.
     discovery_answer_us: int = 1500 * MS
@@ -92,3 +110,19 @@
     term_least_us: int = 450 * MS
     term_quiet_us: int = 100 * MS
     term_most_us: int = 650 * MS
+
+    def fit(self, memory_bytes: int, sockets: int) -> Limits:
+        """These limits on a machine of that size. Of the memory that the program leaves, a quarter each is
+        for buffers, for what open items carry and for the items; logs and queues get a sixteenth each."""
+        room = memory_bytes - self.program_bytes
+        buffers = min(self.pool_most, room // 4 // self.buffer_bytes)
+        kept = sockets // 6
+        return replace(
+            self, brick_conns=sockets // 3, brick_conns_kept=kept,
+            client_conns=sockets - kept - self.spare_sockets,
+            pool_most=buffers, pool_keep=min(self.pool_keep, buffers // 4),
+            out_bytes=min(self.out_bytes, room // 16),
+            open_bytes=min(self.open_bytes, room // 4),
+            open_items=min(self.open_items, room // 4 // self.item_bytes),
+            store_log_entries=min(self.store_log_entries, room // 16 // self.record_bytes),
+            telemetry_queue=min(self.telemetry_queue, room // 16 // self.record_bytes))
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from garnetlanding.core.core import Core
-from garnetlanding.core.ports import Answer, Ask, Backend, Failed, Refused, Served
+from garnetlanding.core.ports import Answer, Ask, Backend, Failed, Refused, Served, Unfit
 from garnetlanding.limits import MS, Limits
 from garnetlanding.ninep import codec
 from garnetlanding.ninep.codec import (
@@ -97,6 +97,7 @@
         self._fids: dict[int, Fid] = {}
         self._pending: dict[int, Pending] = {}
         self.ended = False
+        self.taken = self.bad = 0
 
     # For the driver
 
@@ -104,10 +105,6 @@
     def owed(self) -> int:
         return len(self._pending)
 
-    @property
-    def full(self) -> bool:
-        return False  # a Tflush must always get through; tags in flight are bounded one by one
-
     @property
     def midway(self) -> bool:
         return self._framer.midway
@@ -121,7 +118,10 @@
             return
         try:
             for tag, message in self._framer.feed(data):
+                self.taken += 1
                 self._take(tag, message)
+                if self.bad >= self._limits.bad_commands:
+                    return self.close()
         except codec.FrameError:
             # No tag can be trusted to answer with; what is in flight has lost its client.
             self.close()
@@ -168,6 +168,7 @@
     def _handle(self, tag: int, message: Message | codec.Malformed) -> None:
         match message:
             case codec.Malformed(why):
+                self.bad += 1
                 raise Refusal(why)
             case codec.Tattach():
                 self._attach(tag, message)
@@ -324,10 +325,14 @@
                 self._say(tag, told(self._reply(answer)))
 
         self._pending[tag] = pending
-        pending.ticket = self._core.accept(
-            Ask(export.cls, export.plan, export.volume, "/" + "/".join(work.path), float(units), export.cell,
-                export.deadline_us, export.hosts, work, size=getattr(work, "count", 0)),
-            self._backend, answered)
+        try:
+            pending.ticket = self._core.accept(
+                Ask(export.cls, export.plan, export.volume, "/" + "/".join(work.path), float(units),
+                    export.cell, export.deadline_us, export.hosts, work, size=getattr(work, "count", 0)),
+                self._backend, answered)
+        except Unfit as problem:  # the operator's export and the settings do not go together
+            del self._pending[tag]
+            raise Refusal(str(problem)) from None
 
     @staticmethod
     def _reply(answer: Answer) -> Message:
--- a/garnetlanding/resp/codec.py
+++ b/garnetlanding/resp/codec.py
@@ -47,6 +47,7 @@
 
     def close(self) -> None:
         self._in.clear()
+        self._open, self._bulk = [], -1
 
     def _values(self) -> Iterator[Value]:
         while True:
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from garnetlanding.core.core import Core
-from garnetlanding.core.ports import Answer, Backend, Refused, Served
+from garnetlanding.core.ports import Answer, Backend, Refused, Served, Unfit
 from garnetlanding.limits import MS, Limits
 from garnetlanding.resp import codec
 from garnetlanding.resp.request import BadRequest, read_request
@@ -25,22 +25,21 @@
 class ClientMachine:
     """Fed a client's bytes; takes its commands to the core and gives the answers in their order."""
 
-    def __init__(self, core: Core, backend: Backend, pool: BufferPool, limits: Limits,
+    def __init__(self, core: Core, backend: Backend, pool: BufferPool, limits: Limits, ids: set[bytes],
                  write: Callable[[bytes], None]) -> None:
+        """`ids` are those of the requests open on all connections of this front."""
         self._core, self._backend, self._limits, self._write = core, backend, limits, write
+        self._ids = ids
         self._decoder = codec.Decoder(pool, limits, commands_only=True)
         self._slots: deque[list[bytes | None]] = deque()  # answers owed, in order of the commands
-        self._tickets: dict[int, str] = {}  # open items, by their slot
+        self._open: dict[int, tuple[str, bytes]] = {}  # tickets and ids of open items, by their slot
         self.ended = False  # no more is read; closed once what is owed is written
+        self.taken = self.bad = 0
 
     @property
     def owed(self) -> int:
         return len(self._slots)
 
-    @property
-    def full(self) -> bool:
-        return len(self._slots) >= self._limits.pipeline
-
     @property
     def session(self) -> bool:
         return False
@@ -54,25 +53,22 @@
             return
         try:
             for words in self._decoder.feed(data):
+                self.taken += 1
                 if words:  # an empty array is no command, as with any RESP server
                     self._command(words)  # type: ignore[arg-type]
+                if self.ended:
+                    break
         except codec.ProtocolError as problem:
-            self.ended = True
-            self._settle(self._slot(), codec.error(f"ERR Protocol error: {problem}"))
+            self._turn_away(f"Protocol error: {problem}")
 
     def _command(self, words: list[bytes]) -> None:
+        if len(self._slots) >= self._limits.pipeline:
+            self._turn_away("too many commands at once")
+            return
         slot = self._slot()
         match words[0].upper():
             case b"BLK.READ" | b"BLK.WRITE":
-                try:
-                    ask = read_request(words, self._limits)
-                except BadRequest as problem:
-                    self._settle(slot, codec.error(f"ERR {problem}"))
-                    return
-                # The core may answer before it returns: then there is no open item to note.
-                ticket = self._core.accept(ask, self._backend, lambda a: self._settle(slot, write_answer(a)))
-                if slot[0] is None:
-                    self._tickets[id(slot)] = ticket
+                self._ask(slot, words)
             case b"PING":
                 self._settle(slot, codec.bulk(words[1]) if len(words) > 1 else b"+PONG\r\n")
             case b"CLIENT" | b"SELECT":
@@ -81,7 +77,35 @@
                 self.ended = True
                 self._settle(slot, b"+OK\r\n")
             case _:
-                self._settle(slot, codec.error("ERR unknown command"))
+                self._spoilt(slot, "unknown command")
+
+    def _ask(self, slot: list[bytes | None], words: list[bytes]) -> None:
+        try:
+            ask = read_request(words, self._limits)
+            if words[2] in self._ids:
+                # Whoever sent it first is owed the answer; passed on, the two could be taken for each other.
+                raise BadRequest("id: of a request that is open")
+            # The core may answer before it returns: then there is no open item to note.
+            ticket = self._core.accept(ask, self._backend, lambda a: self._settle(slot, write_answer(a)))
+        except (BadRequest, Unfit) as problem:
+            self._spoilt(slot, str(problem))
+            return
+        if slot[0] is None:
+            self._open[id(slot)] = ticket, words[2]
+            self._ids.add(words[2])
+
+    def _spoilt(self, slot: list[bytes | None], why: str) -> None:
+        self.bad += 1
+        self._settle(slot, codec.error("ERR " + why))
+        if self.bad >= self._limits.bad_commands:
+            self._turn_away("too many errors")
+
+    def _turn_away(self, why: str) -> None:
+        """Such a client is owed an error and a close soon: what it has open does not hold them up."""
+        self.ended = True
+        for ticket, _ in list(self._open.values()):
+            self._core.turn_away(ticket, why)
+        self._settle(self._slot(), codec.error("ERR " + why))
 
     def _slot(self) -> list[bytes | None]:
         slot: list[bytes | None] = [None]
@@ -91,7 +115,8 @@
     def _settle(self, slot: list[bytes | None], answer: bytes) -> None:
         """Keeps the answer until all before it are written: a client matches answers by order alone."""
         slot[0] = answer
-        self._tickets.pop(id(slot), None)
+        if id(slot) in self._open:
+            self._ids.discard(self._open.pop(id(slot))[1])
         ready = []
         while self._slots and self._slots[0][0] is not None:
             ready.append(self._slots.popleft()[0])
@@ -102,6 +127,7 @@
         """The client has gone away."""
         self.ended = True
         self._decoder.close()
-        for ticket in list(self._tickets.values()):
+        for ticket, request in self._open.values():
+            self._ids.discard(request)
             self._core.left(ticket)
-        self._tickets.clear()
+        self._open.clear()
--- a/garnetlanding/resp/request.py
+++ b/garnetlanding/resp/request.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from garnetlanding.core.ports import Ask
 from garnetlanding.limits import MS, Limits
 from garnetlanding.resp import codec
 
+WHOLE = re.compile(r"-?[0-9]{1,12}")
+NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+NAME = re.compile(rb"[!-~]+")
+
 
 class BadRequest(ValueError):
     """A command that cannot be taken; the text says why."""
@@ -27,41 +32,54 @@
 
 def _whole(pairs: dict[str, str], name: str, least: int) -> int:
     text = pairs.get(name, "")
-    try:
-        value = int(text)
-    except ValueError:
-        raise BadRequest(f"field {name}: cannot read {text[:20]!r}") from None
-    if value < least or value > 1 << 40:
+    if not WHOLE.fullmatch(text):
+        raise BadRequest(f"field {name}: cannot read {text[:20]!r}")
+    value = int(text)
+    if value < least:
         raise BadRequest(f"field {name}: out of range")
     return value
 
 
 def _number(pairs: dict[str, str], name: str) -> float:
     text = pairs.get(name, "")
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadRequest(f"field {name}: cannot read {text[:20]!r}") from None
-    if not 0 < value < 1e9:  # also turns away nan
+    if not NUMBER.fullmatch(text):
+        raise BadRequest(f"field {name}: cannot read {text[:20]!r}")
+    value = float(text)
+    if not value:
         raise BadRequest(f"field {name}: out of range")
     return value
 
 
+def _name(word: bytes, what: str, limits: Limits) -> str:
+    if not NAME.fullmatch(word) or len(word) > limits.name_bytes:
+        raise BadRequest(f"{what}: missing or not a name")
+    return word.decode("ascii")
+
+
+def _fields(word: bytes, limits: Limits) -> dict[str, str]:
+    if len(word) > limits.line_bytes or not word.isascii():
+        raise BadRequest("fields: too long or not ASCII")
+    pairs: dict[str, str] = {}
+    for pair in word.decode("ascii").split(","):
+        name, _, value = pair.partition("=")
+        if name in pairs:
+            raise BadRequest(f"field {name[:20]}: there twice")  # a brick might take the other one
+        pairs[name] = value
+    return pairs
+
+
 def read_request(words: list[bytes], limits: Limits) -> Ask:
     is_write = words[0].upper() == b"BLK.WRITE"
     if len(words) != (5 if is_write else 4):
         raise BadRequest("wrong number of arguments")
-    try:
-        text = words[3].decode("ascii")
-        key = words[1].decode("ascii")
-    except UnicodeDecodeError:
-        raise BadRequest("not ASCII") from None
-    pairs = dict(p.partition("=")[::2] for p in text.split(","))
-    for name in ("c", "t", "volume"):
+    key, _ = _name(words[1], "piece", limits), _name(words[2], "id", limits)
+    pairs = _fields(words[3], limits)
+    for name in ("c", "t"):
         if not pairs.get(name):
             raise BadRequest(f"field {name}: missing")
     return Ask(
-        cls=pairs["c"], plan=pairs["t"], volume=pairs["volume"], key=key,
+        cls=pairs["c"], plan=pairs["t"],
+        volume=_name(pairs.get("volume", "").encode(), "field volume", limits), key=key,
         units=_number(pairs, "units"),
         cell=_whole(pairs, "shard", -1),
         wait_us=min(_whole(pairs, "d", 0) * MS, limits.client_wait_us),
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -21,15 +21,13 @@
     """One client connection's protocol. It writes through what its maker was given."""
 
     ended: bool  # nothing more is read; to be closed once nothing is owed
+    taken: int  # whole messages that have come
+    bad: int  # of these, such as cannot be used
 
     @property
     def owed(self) -> int:
         """Answers not yet written."""
 
-    @property
-    def full(self) -> bool:
-        """So much is owed that no more should be read."""
-
     @property
     def midway(self) -> bool:
         """Part of a message has come."""
@@ -49,14 +47,29 @@
         self._listener, self._scheduler = listener, listener.scheduler
         self.stream = Stream(listener.scheduler, sock, listener.pool, listener.limits)
         self.machine = listener.make(self._written)
-        self._parked = False
+        self._parked = self._lingers = False
         self.used_at = self._scheduler.now
+        self._begun: int | None = self.used_at  # when the message now awaited began; the first: on connecting
+        self._seen = 0  # messages taken when that was noted
         self._task = self._scheduler.spawn(self._run)
 
     @property
     def idle(self) -> bool:
         return not self.machine.owed and not self.machine.midway and self.stream.flushed
 
+    @property
+    def spare_from(self) -> int | None:
+        """When its place may go to another client; None: not while it is as it is."""
+        limits = self._listener.limits
+        if self._lingers:
+            return 0
+        if self.machine.owed or self.machine.session or not self.stream.flushed:
+            return None
+        if self.machine.taken and not self.machine.midway:
+            return self.used_at + limits.idle_us
+        # A client that has something to ask sends it whole: nothing, or half of it, is mostly nobody.
+        return (self._begun or self.used_at) + limits.new_us
+
     def _written(self, data: bytes) -> None:
         self.used_at = self._scheduler.now
         self.stream.write(data)
@@ -70,18 +83,25 @@
         if self.idle:
             self.stream.close()
 
+    def _whole_by(self) -> int | None:
+        """The latest for the message now awaited, however slowly it comes; None between messages."""
+        machine = self.machine
+        if machine.taken != self._seen:
+            self._seen, self._begun = machine.taken, None
+        if machine.taken and not machine.midway:
+            return None
+        if self._begun is None:
+            self._begun = self._scheduler.now
+        return self._begun + self._listener.limits.command_us
+
     def _run(self) -> None:
         machine, stream, limits = self.machine, self.stream, self._listener.limits
         try:
-            while not machine.ended:
-                if machine.full:
-                    self._park()  # its own answers make room; until then TCP holds the client back
-                    continue
-                deadline = self._scheduler.now + limits.half_command_us if machine.midway else None
-                if not stream.read(machine.feed, deadline):
-                    break
+            self._read()
             while machine.ended and not stream.closed and (machine.owed or not stream.flushed):
                 self._park()
+            if machine.ended and not stream.closed:
+                self._linger(limits.linger_bytes)
         except (Expired, Closed):
             pass
         finally:
@@ -89,6 +109,34 @@
             stream.close()
             self._listener.gone(self)
 
+    def _read(self) -> None:
+        machine, stream, limits = self.machine, self.stream, self._listener.limits
+        bad = 0
+        try:
+            while not machine.ended and stream.read(machine.feed, self._whole_by()):
+                if machine.bad > bad and not machine.ended:
+                    # It may send the same again at full speed: others share this loop.
+                    bad = machine.bad
+                    self._scheduler.sleep(limits.bad_pause_us)
+        except Expired:
+            # Only what it still has open keeps the connection.
+            machine.ended = bool(machine.owed)
+
+    def _linger(self, left: int) -> None:
+        """Closed with input unread, a connection is reset, which may take the last answer from the client."""
+        self._lingers = True
+        self.machine.close()
+        self.stream.finish()
+        until = self._scheduler.now + self._listener.limits.linger_us
+        got = 0
+
+        def count(data: memoryview) -> None:
+            nonlocal got
+            got += len(data)
+
+        while got < left and self._scheduler.now < until and self.stream.read(count, until):
+            pass
+
     def _park(self) -> None:
         """Until something is written; looks again after a while, since a broken stream writes nothing."""
         if self.stream.closed:
@@ -109,6 +157,7 @@
                  make: Callable[[Write], ClientMachine]) -> None:
         self.scheduler, self.pool, self.limits, self.make = scheduler, pool, limits, make
         self._most = most
+        self.lent: Callable[[], int] = lambda: 0  # how many of its places others have at present
         self._clients: set[Client] = set()
         self.ending = False
         self.accepted_at = scheduler.now
@@ -137,12 +186,13 @@
                 self._sock.close()
 
     def _take_waiting(self) -> None:
-        if len(self._clients) >= self._most and not self._make_room():
+        assert self._sock
+        if not self.lend():
             # Waiting clients stay with the kernel: taking one now could only lose it.
             self.scheduler.sleep(self.limits.accept_pause_us)
             return
         # At the bound, room is made for a client that waits, which only the next poll tells.
-        while self._sock and len(self._clients) < self._most:
+        for _ in range(min(self.limits.accept_turn, self._free)):
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
@@ -155,15 +205,25 @@
         self.accepted_at = self.scheduler.now
         self._clients.add(Client(self, sock))
 
+    @property
+    def _free(self) -> int:
+        return self._most - self.lent() - len(self._clients)
+
+    def lend(self) -> bool:
+        """Whether a place is free, or could be made so."""
+        return self._free > 0 or self._make_room()
+
     def _make_room(self) -> bool:
-        """Between requests a head may close a connection: the one unused longest makes room."""
-        idle = [c for c in self._clients if c.idle and not c.machine.session]
-        if not idle:
-            return False
-        victim = min(idle, key=lambda c: c.used_at)
-        victim.stream.close()
-        self._clients.discard(victim)
-        return True
+        """Between requests a head may close a connection: the one to be spared longest makes room, unless a
+        request has come on it that is not read yet."""
+        now = self.scheduler.now
+        spare = [(at, id(c), c) for c in self._clients if (at := c.spare_from) is not None and at <= now]
+        for _, _, victim in sorted(spare):
+            if not victim.stream.unread():
+                victim.stream.close()
+                self._clients.discard(victim)
+                return True
+        return False
 
     def gone(self, client: Client) -> None:
         self._clients.discard(client)
--- a/garnetlanding/runtime/stream.py
+++ b/garnetlanding/runtime/stream.py
@@ -137,6 +137,20 @@
             return self._write_rest()
         self._flushed()
 
+    def unread(self) -> bool:
+        """Whether something waits that nobody has read yet."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def finish(self) -> None:
+        """Says that nothing more will be written; what still comes can be read."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._break()
+
     @property
     def flushed(self) -> bool:
         return not self._out.length
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -141,6 +141,7 @@
         self._idle: dict[Key, list[Connection]] = {}
         self._busy: dict[Trial, Connection] = {}
         self.count = 0
+        self.borrow: Callable[[], bool] = lambda: True  # asked for a place beyond those that are its own
         self.faults: Counter[tuple[str, str]] = Counter()  # by server and cause, since the last sweep
         scheduler.call_at(scheduler.now + limits.sweep_us, self._sweep)
 
@@ -178,7 +179,8 @@
             conn.close()
 
     def _room(self) -> bool:
-        if self.count < self._most:
+        kept = self.limits.brick_conns_kept
+        if self.count < self._most and (self.count < kept or self.borrow()):
             return True
         idle = (c for conns in self._idle.values() for c in conns)
         oldest = min(idle, key=lambda c: c.idle_since, default=None)
--- a/garnetlanding/store/replica.py
+++ b/garnetlanding/store/replica.py
@@ -62,7 +62,8 @@
         self._lines = _Lines(limits.store_line_bytes)
         self._timer: Timer | None = None
         self._following = False
-        self.ended = self.full = False
+        self.ended = False
+        self.taken = self.bad = 0
         self.session = True
         self.owed = 0
 
@@ -73,6 +74,7 @@
     def feed(self, data: bytes | memoryview) -> None:
         try:
             for message in self._lines.feed(data):
+                self.taken += 1
                 self._follow(message)
         except ReplicaError as problem:
             log.warning("follower turned away", extra={"kv": {"why": problem}})
--- a/garnetlanding/wire.py
+++ b/garnetlanding/wire.py
@@ -158,6 +158,7 @@
         share_worth=get("FamilyInfo.ShareWorth", _number, 1.0),
         spare_worth=get("FamilyInfo.IdleWorth", _number, 1.0),
         most_units=get("FamilyInfo.Largest", _number, 1.0),
+        cells=get("FamilyInfo.Shards", _integer, 0),
     )
 
 
