Close connections kept for good once there are many; forget what is gone

Changed: with more than a sixth of the descriptors in clients' hands, those idle for 2 s are closed, longest idle first, unless a request waits on them unread. Growth, read in the code and shown by tests: Directory kept servers told as gone, the module entries gone, volumes and their flows; cancelled timers stayed in the heap until due; a store without followers kept a log.

--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -17,8 +17,13 @@
             self._state.clear()
             self._endpoint.clear()
         for entry in listing.entries:
-            self._state[entry.node] = entry.state
-            self._endpoint[entry.node] = listing.endpoints[entry.node]
+            if entry.state is NodeState.GONE:
+                # Replaced servers come back under other names: kept, these would grow without end.
+                self._state.pop(entry.node, None)
+                self._endpoint.pop(entry.node, None)
+            else:
+                self._state[entry.node] = entry.state
+                self._endpoint[entry.node] = listing.endpoints[entry.node]
 
     def endpoint(self, node: str) -> str | None:
         """None for a server that drains, is gone or was never named: it may not be sent anything."""
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -109,7 +109,9 @@
 
     def _open_store(self, setup: StoreSetup) -> Store:
         """From its file where it has one; its settings are the configuration's unless a writer rules."""
-        store = Store(setup.writer, setup.role != "follower", self.limits.store_log_entries)
+        # Only followers read the log: without any it would hold on to lists long replaced.
+        log_entries = self.limits.store_log_entries if setup.role == "writer" else 0
+        store = Store(setup.writer, setup.role != "follower", log_entries)
         keeper = Keeper(self.scheduler, store, setup.file, self.limits.store_save_us) if setup.file else None
         if store.writable:
             # Each life of the writer has a greater epoch, also when its file is lost.
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -46,6 +46,7 @@
 COLD_SAFETY = 0.7  # part of the learnt cold budget that is used: hosts' loads shift between them
 USUAL_SPAN = 10 * SECOND  # memory of a cell's usual load: longer than a shift of the lead moves it
 LIST_BACKOFF, LIST_BACKOFF_MOST = SECOND // 2, 4 * SECOND  # between list calls after an error; doubles
+FORGET = 60 * SECOND  # a volume not asked for in so long; no request lasts longer
 LOG_LINES = 200  # per life
 UNSURE = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # the work may still go on
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT)  # proof that an attempt had no effect
@@ -130,7 +131,8 @@
             self.at(self.now + WEIGHT_EVERY, self._steer, None)
             if self.s.ask_for_list:
                 self.act(api.Subscribe())
-        self.entries = ({} if e.whole else self.entries) | {entry.node: entry for entry in e.entries}
+        known = ({} if e.whole else self.entries) | {entry.node: entry for entry in e.entries}
+        self.entries = {name: entry for name, entry in known.items() if entry.state is not api.NodeState.GONE}
         up = self.newest_up()
         for cell in [*up, *(c for c in self.nodes if c not in up)]:
             self._serve_cell(self.nodes.setdefault(cell, Node(cell)), up.get(cell))
@@ -266,6 +268,7 @@
     def _steer(self, _: None) -> None:
         """The weight controller; a volume without a new figure keeps its weight."""
         self.at(self.now + WEIGHT_EVERY, self._steer, None)
+        self._forget()
         for name, volume in self.volumes.items():
             if volume.used is None:
                 continue
@@ -275,6 +278,15 @@
             volume.used = None
             self._reweigh(name, volume, weight)
 
+    def _forget(self) -> None:
+        """A volume not asked for in a long while is as good as new; kept, every name heard would stay."""
+        for name in [n for n, v in self.volumes.items() if v.reserve.at < self.now - FORGET]:
+            flows = [(node, node.flows[name]) for node in self.nodes.values() if name in node.flows]
+            if not any(flow.held for _, flow in flows):
+                del self.volumes[name]
+                for node, _ in flows:
+                    del node.flows[name]
+
     def _reweigh(self, name: str, volume: Volume, weight: float) -> None:
         volume.weight = weight
         for node in self.nodes.values():
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -23,6 +23,7 @@
     client_conns: int = 822
     brick_conns: int = 341
     brick_conns_kept: int = 170
+    idle_clients: int = 170  # so many client connections may idle for good, more are closed by and by
     brick_conns_each: int = 48
     backlog: int = 512
     accept_turn: int = 32  # connections taken in one turn of the loop
@@ -63,7 +64,8 @@
     # Times.
     dial_us: int = 250 * MS
     brick_idle_us: int = 24 * SECOND  # below the time at which a brick closes an idle connection
-    sweep_us: int = SECOND  # between looks for idle connections
+    sweep_us: int = SECOND  # between looks for idle server connections
+    client_sweep_us: int = 100 * MS  # and for client connections to spare
     accept_pause_us: int = 10 * MS  # when no connection can be taken
     parked_look_us: int = 500 * MS  # a paused connection looks at its client this often
     bad_pause_us: int = 200 * MS  # a connection is not read for so long after something bad
@@ -72,8 +74,8 @@
     linger_bytes: int = 256 << 10
     # From connecting for the first command, from its own first byte for others: 3 s are allowed.
     command_us: int = 2500 * MS
-    new_us: int = 100 * MS  # without room, one that has said nothing or half a command so long is closed
-    idle_us: int = 2 * SECOND  # without room, one that has asked nothing for so long is closed
+    new_us: int = 100 * MS  # with many, or without room, one that has said nothing or half a command so long
+    idle_us: int = 2 * SECOND  # and one that has asked nothing for so long is closed
     write_stall_us: int = 5 * SECOND  # a peer that takes no byte for this long is cut off
     half_answer_us: int = 100 * MS  # a server's answer begun must be whole by then
 
@@ -119,7 +121,7 @@
         kept = sockets // 6
         return replace(
             self, brick_conns=sockets // 3, brick_conns_kept=kept,
-            client_conns=sockets - kept - self.spare_sockets,
+            client_conns=sockets - kept - self.spare_sockets, idle_clients=kept,
             pool_most=buffers, pool_keep=min(self.pool_keep, buffers // 4),
             out_bytes=min(self.out_bytes, room // 16),
             open_bytes=min(self.open_bytes, room // 4),
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -165,6 +165,7 @@
         host, port = self._sock.getsockname()[:2]
         self.address = f"{host}:{port}"
         scheduler.spawn(self._accept)
+        scheduler.call_at(scheduler.now + limits.client_sweep_us, self._sweep)
 
     def __len__(self) -> int:
         return len(self._clients)
@@ -213,17 +214,27 @@
         """Whether a place is free, or could be made so."""
         return self._free > 0 or self._make_room()
 
-    def _make_room(self) -> bool:
-        """Between requests a head may close a connection: the one to be spared longest makes room, unless a
-        request has come on it that is not read yet."""
+    def _sweep(self) -> None:
+        """Clients may hold so many connections and no more: those kept for good leave them none to ask on."""
+        if self._sock:
+            self.scheduler.call_at(self.scheduler.now + self.limits.client_sweep_us, self._sweep)
+        if len(self._clients) > self.limits.idle_clients:
+            self._make_room(len(self._clients) - self.limits.idle_clients)
+
+    def _make_room(self, places: int = 1) -> bool:
+        """Between requests a head may close a connection: those to be spared longest make room, unless a
+        request has come on them that is not read yet."""
         now = self.scheduler.now
-        spare = [(at, id(c), c) for c in self._clients if (at := c.spare_from) is not None and at <= now]
-        for _, _, victim in sorted(spare):
+        spare = [(at, c) for c in self._clients if (at := c.spare_from) is not None and at <= now]
+        made = 0
+        for _, victim in sorted(spare, key=lambda pair: pair[0]):
+            if made >= places:
+                break
             if not victim.stream.unread():
                 victim.stream.close()
                 self._clients.discard(victim)
-                return True
-        return False
+                made += 1
+        return made > 0
 
     def gone(self, client: Client) -> None:
         self._clients.discard(client)
--- a/garnetlanding/runtime/scheduler.py
+++ b/garnetlanding/runtime/scheduler.py
@@ -31,16 +31,18 @@
 
 
 class Timer:
-    """A call to come; cancelling it is cheap, the heap drops it when its time comes."""
+    """A call to come. Cancelling is cheap: the heap drops it when its time comes, or half are cancelled."""
 
-    __slots__ = ("due", "call")
+    __slots__ = ("due", "call", "_owner")
 
-    def __init__(self, due: int, call: Callable[[], None]) -> None:
-        self.due = due
+    def __init__(self, due: int, call: Callable[[], None], owner: Scheduler) -> None:
+        self.due, self._owner = due, owner
         self.call: Callable[[], None] | None = call
 
     def cancel(self) -> None:
-        self.call = None
+        if self.call is not None:
+            self.call = None
+            self._owner.cancelled += 1
 
 
 class Task:
@@ -65,6 +67,7 @@
         self._ready: deque[Task] = deque()
         self._tasks: set[Task] = set()
         self._timers: list[tuple[int, int, Timer]] = []
+        self.cancelled = 0  # of these
         self._count = 0
         self._current: Task | None = None
         self._stopped = False
@@ -156,11 +159,16 @@
                 task._glet.throw(GreenletExit)
         self._current = None
         self._timers.clear()
+        self.cancelled = 0
 
     # Timers
 
     def call_at(self, due: int, call: Callable[[], None]) -> Timer:
-        timer = Timer(due, call)
+        if 2 * self.cancelled > len(self._timers):
+            self._timers = [entry for entry in self._timers if entry[2].call is not None]
+            heapq.heapify(self._timers)
+            self.cancelled = 0
+        timer = Timer(due, call, self)
         self._count += 1
         heapq.heappush(self._timers, (due, self._count, timer))
         return timer
@@ -194,10 +202,13 @@
                 if got & (direction | select.POLLERR | select.POLLHUP | select.POLLNVAL):
                     self.wake(task)
         while self._timers and self._timers[0][0] <= self.now:
-            call = heapq.heappop(self._timers)[2].call
+            timer = heapq.heappop(self._timers)[2]
+            call, timer.call = timer.call, None
             if call is not None:
                 fired = True
                 self._guarded(call)
+            else:
+                self.cancelled -= 1
         busy = bool(polled or fired or self._ready)
         self._run_ready()
         for hook in self.turn_end:
@@ -217,6 +228,7 @@
             return 0
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
+            self.cancelled -= 1
         if not self._timers:
             return None
         # poll rounds up to a whole millisecond, so a timer never fires early and never spins.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -40,9 +40,11 @@
         self.core.listed(Listing((entry,), {node: "x:1"}, whole, at_start=whole))
         self.settle()
 
-    def ask(self, name: str, wait_us: int = SECOND, cls: str = "read", size: int = 0) -> str:
-        ticket = self.core.accept(Ask(cls, "gold", "v", "k", 2, 0, wait_us, 1, name, size=size), self.backend,
-                                  lambda answer: self.answers.__setitem__(name, answer))
+    def ask(self, name: str, wait_us: int = SECOND, cls: str = "read", size: int = 0,
+            volume: str = "v") -> str:
+        ticket = self.core.accept(
+            Ask(cls, "gold", volume, "k", 2, 0, wait_us, 1, name, size=size), self.backend,
+            lambda answer: self.answers.__setitem__(name, answer))
         self.settle()
         return ticket
 
@@ -85,6 +87,21 @@
     assert w.answers == {"a": Refused(SECOND)}
 
 
+def test_replaced_servers_and_volumes_no_longer_asked_for_leave_nothing_behind() -> None:
+    """On a long day all of these grew with every replacement and every name."""
+    w = CoreWorld()
+    for i in range(30):
+        w.say(f"n{i}", NodeState.GONE)
+        w.say(f"n{i + 1}", NodeState.UP, started=w.time)
+        w.ask(f"a{i}", volume=f"v{i}")
+        w.end(Outcome.SERVED, b"")
+        w.run(3 * SECOND, SECOND)
+    assert list(w.core.directory._state) == list(w.core.directory._endpoint) == ["n30"]
+    module = w.core._controller
+    assert list(module.entries) == ["n30"] and len(module.volumes) <= 21
+    assert all(set(node.flows) <= set(module.volumes) for node in module.nodes.values())
+
+
 def test_a_whole_list_forgets_what_it_leaves_out() -> None:
     w = CoreWorld()
     w.core.listed(Listing((api.NodeEntry("n1", 1, "z", NodeState.UP),), {"n1": "y:1"}, True))
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -339,6 +339,20 @@
     assert fourth.say(PING) == b"+PONG\r\n" and third.closed, "half a command is little more than nothing"
 
 
+def test_connections_kept_for_good_are_closed_once_there_are_many() -> None:
+    """Clients that ask once and stay used up what clients may hold: others had no connection left."""
+    w = World(idle_clients=2)
+    front = w.front()
+    peers = [w.peer(front.address) for _ in range(5)]
+    for peer in peers:
+        peer.say(PING)
+    w.run(w.limits.idle_us - MS, 100 * MS)
+    peers[0].say(PING)
+    assert len(front) == 5
+    w.run(w.limits.client_sweep_us + MS)
+    assert len(front) == 2 and not peers[0].closed, "that one has just been used"
+
+
 def test_clients_have_the_places_that_bricks_do_not_need_and_give_them_back() -> None:
     """A fixed share left connections waiting that had been answered for within a moment."""
     w = World(settings(max_attempts=4, parallel_attempts=False, hosts=1), brick_conns_kept=1, client_conns=4)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -83,6 +83,20 @@
     assert seen == ["expired at 10"]
 
 
+def test_cancelled_timers_do_not_gather_and_the_others_fire_in_order() -> None:
+    """A request's timer stood in the heap until its deadline, long after its answer."""
+    clock, seen = [0], []
+    scheduler = Scheduler(lambda: clock[0])
+    for i in range(1000):
+        scheduler.call_at(10_000 - i, lambda: seen.append(scheduler.now)).cancel()
+        if i % 100 == 0:
+            scheduler.call_at(10_000 - i, lambda i=i: seen.append(i))  # type: ignore[misc]
+        assert len(scheduler._timers) <= 2 * (i // 100 + 2)
+    clock[0] = 10_000
+    scheduler.turn(0)
+    assert seen == list(range(900, -1, -100)) and scheduler.cancelled == len(scheduler._timers) == 0
+
+
 @pytest.mark.parametrize("text", ["", "host", "host:", ":1", "h:x", "h:70000"])
 def test_an_address_that_is_none_is_named(text: str) -> None:
     with pytest.raises(ValueError, match="HOST:PORT"):
