--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -40,7 +40,6 @@
 COPY_EARNED, COPY_WON, COPY_MOST = 0.01, 2.0, 3.0  # copies earned per arrival, per one that won; kept
 POOL_GAIN = 0.1  # relative step per answer of what all nodes teach together
 SICK_SHARE = 0.01  # prior for a sick node, against which lost answers explain a silence
-PASSED_LATENCIES, PASSED_AIMS = 5.0, 0.4  # sent so much later and answered: what is still out is lost
 RETRY_AIMS = 0.1  # first pause before a resend, in aims of its class; doubles, with jitter
 UNSENT_SHARE = 0.45  # of its time after which an unseen request is given up; later refusals cost its client
 UNHEARD_TRIES = 3  # connects in a row that fail before a silent node counts as gone: some break by chance
@@ -357,7 +356,6 @@
         else:
             r.volume.limit.level -= r.told.units
         r.attempts.append(Attempt(h, node.cell, self.now))
-        h.pending[r.attempts[-1]] = r, len(r.attempts) - 1
         h.out += 1
         h.sent.add(self.now, r.told.units)
         self.act(api.Send(r.told.request, h.entry.node))
@@ -388,7 +386,6 @@
             return
         a = r.attempts[e.attempt]
         a.outcome = e.outcome
-        a.health.pending.pop(a, None)
         self._learn(a, r, e)
         r.volume.used = e.used - 1 if e.used > 0 else r.volume.used
         if e.outcome in UNSURE and r.told.key in self.turns:
@@ -399,16 +396,6 @@
             self._again(r)
         self._settle(r)
 
-    def _passed_by(self, h: Health, later: Attempt) -> None:
-        """A node takes requests in turn of arrival: one that much later ones have passed by is lost on its
-        connection. It is stopped, and goes again as after any loss."""
-        for a, (r, number) in list(h.pending.items()):
-            patience = max(PASSED_LATENCIES * h.latency * larger(r, h), PASSED_AIMS * self.tightest)
-            again = r.cls.effect is Effect.SAFE and not r.over and len(r.attempts) < self.s.max_attempts
-            if again and self.s.may_cancel and later.sent_at > a.sent_at + patience:
-                del h.pending[a]
-                self.act(api.Cancel(r.told.request, number))
-
     def _copy(self, r: Request) -> None:
         """Lost answers: a second copy once the first is overdue; wrong guesses use up what is earned."""
         useful = r.out() and not r.over and not r.node and self.now < r.aim_at
@@ -465,7 +452,6 @@
             if self.now >= h.cold_since + self.s.cold_us:
                 node.usual.add(self.now, r.told.units, USUAL_SPAN)
             self._learn_pace(h, r.told.units, took)
-            self._passed_by(h, a)
         elif e.outcome is Outcome.TIMEOUT:
             self.lost_share += (1 - self.lost_share) * POOL_GAIN
             self._learn_pace(h, r.told.units, took * sick)
--- a/garnetlanding/decision/state.py
+++ b/garnetlanding/decision/state.py
@@ -73,7 +73,6 @@
     units: float = 0.0  # mean of the same answers
     narrow: float = 1.0  # part of D in use
     errors: float = 0.0
-    pending: dict[Attempt, tuple[Request, int]] = field(default_factory=dict)  # out there, as sent
     unreached: int = 0  # connects that failed since it was last heard
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -89,9 +89,6 @@
     def sends(self, name: str | None = None) -> list[api.Send]:
         return [a for _, a in self.log if isinstance(a, api.Send) and name in (None, a.request)]
 
-    def cancels(self) -> list[api.Cancel]:
-        return [a for _, a in self.log if isinstance(a, api.Cancel)]
-
     def answers(self, name: str) -> list[api.Action]:
         return [a for _, a in self.log if isinstance(a, api.Refuse | api.Fail) and a.request == name]
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -47,22 +47,6 @@
     assert len(b.sends("b")) == 1
 
 
-def test_an_attempt_that_later_ones_pass_by_is_stopped_and_sent_again() -> None:
-    """Its connection has fallen silent while the node answers: it was out until its client gave up."""
-    b = Bench(settings(parallel_attempts=False), [up("n0", 0)])
-    b.ask("lost")
-    for i in range(20):
-        b.ask(f"r{i}", volume=f"v{i}")
-        b.run(20 * MS)
-        b.end(f"r{i}")
-        if i < 5:
-            assert not b.cancels(), "it may only be large, or the node pauses"
-    assert [(c.request, c.attempt) for c in b.cancels()] == [("lost", 0)]
-    b.end("lost", api.Outcome.CANCELLED)
-    b.run(100 * MS)
-    assert len(b.sends("lost")) == 2
-
-
 def test_what_no_node_has_seen_is_given_up_before_half_its_time() -> None:
     """A refusal after more than half of its time costs a client that nobody has served 0.3 of the worth."""
     b = Bench(settings(parallel_attempts=False), [up("n0", 0)])
