--- a/example/__main__.py
+++ b/example/__main__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from example.toy import Box, Brick, Discovery, FileServer
+from garnetlanding.emulator.brick import Brick
+from garnetlanding.emulator.discovery import Box, Discovery
+from garnetlanding.emulator.fileserver import FileServer
 from garnetlanding.limits import SECOND, Limits
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.scheduler import Scheduler
--- /dev/null
+++ b/garnetlanding/config/__init__.py
@@ -0,0 +1,9 @@
+"""Configuration, read and checked at start and at reload: the platform's JSON and an operator's TOML."""
+
+from garnetlanding.config.operator import Operator
+from garnetlanding.config.platform import Config, flatten, load, read, read_settings, reload
+from garnetlanding.config.section import ConfigError, Section
+
+__all__ = [
+    "Config", "ConfigError", "Operator", "Section", "flatten", "load", "read", "read_settings", "reload",
+]
--- /dev/null
+++ b/garnetlanding/config/operator.py
@@ -0,0 +1,42 @@
+"""The operator's file (TOML): what it turns on. A subsystem that it leaves out is not even imported."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from garnetlanding.config.section import Section
+from garnetlanding.decision import interface as api
+from garnetlanding.store.setup import StoreSetup
+
+if TYPE_CHECKING:
+    from garnetlanding.ninep.setup import Ninep
+    from garnetlanding.telemetry.setup import Collector
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """What an operator's file turns on; the platform has none."""
+
+    ninep: Ninep | None = None
+    telemetry: Collector | None = None
+    store: StoreSetup = StoreSetup()
+
+
+def read_operator(data: object, settings: api.Settings, name: str) -> Operator:
+    """Checks an operator's file; each subsystem reads its own section. Raises ConfigError."""
+    top = Section(data, "", "ninep telemetry store")
+    ninep, telemetry, store = None, None, StoreSetup(writer=name)
+    if top.has("ninep"):
+        from garnetlanding.ninep import setup as ninep_setup
+
+        ninep = ninep_setup.read(top.raw("ninep"), settings)
+    if top.has("telemetry"):
+        from garnetlanding.telemetry import setup as telemetry_setup
+
+        telemetry = telemetry_setup.read(top.raw("telemetry"))
+    if top.has("store"):
+        from garnetlanding.store import setup as store_setup
+
+        store = store_setup.read(top.raw("store"), name)
+    return Operator(ninep, telemetry, store)
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -8,24 +8,25 @@
 import signal
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from garnetlanding.config import Config, ConfigError, Ninep, StoreSetup, read_settings, reload
+from garnetlanding.config import Config, ConfigError, read_settings, reload
 from garnetlanding.core.core import Core
 from garnetlanding.decision.control import Controller
 from garnetlanding.discovery.listing import read_list
 from garnetlanding.discovery.watch import Watch
-from garnetlanding.ninep.client import file_servers
-from garnetlanding.ninep.front import ClientMachine as NinepMachine
 from garnetlanding.resp.brick import bricks
 from garnetlanding.resp.front import ClientMachine as RespMachine
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.listener import ClientMachine, Listener, Write
 from garnetlanding.runtime.scheduler import READ, Scheduler, monotonic_us
-from garnetlanding.store.file import Keeper
 from garnetlanding.store.known import SETTINGS, keep_list, newer_list
-from garnetlanding.store.replica import Follower, WriterMachine
+from garnetlanding.store.setup import StoreSetup
 from garnetlanding.store.store import Entry, Store
-from garnetlanding.telemetry.exporter import Exporter
+
+if TYPE_CHECKING:  # what is off is not imported
+    from garnetlanding.ninep.setup import Ninep
+    from garnetlanding.telemetry.exporter import Exporter
 
 log = logging.getLogger(__name__)
 
@@ -75,11 +76,8 @@
         self.bricks.borrow = front.lend
         if config.operator.ninep:
             self._start_ninep(config.operator.ninep)
-        if config.operator.store.role == "writer":
-            self._listen("followers", config.operator.store.address, limits.store_followers,
-                         lambda write: WriterMachine(self.store, self.scheduler, limits, write))
-        elif config.operator.store.role == "follower":
-            Follower(self.scheduler, config.operator.store.address, self.store, self.pool, limits)
+        if config.operator.store.role != "alone":
+            self._replicate(config.operator.store)
         if config.operator.telemetry:
             self._start_telemetry()
 
@@ -89,12 +87,26 @@
         log.info("listening", extra={"kv": {"name": self.config.name, "for": what, "at": listener.address}})
         return listener
 
+    def _replicate(self, setup: StoreSetup) -> None:
+        from garnetlanding.store.replica import Follower, WriterMachine
+
+        if setup.role == "writer":
+            self._listen("followers", setup.address, self.limits.store_followers,
+                         lambda write: WriterMachine(self.store, self.scheduler, self.limits, write))
+        else:
+            Follower(self.scheduler, setup.address, self.store, self.pool, self.limits)
+
     def _start_ninep(self, ninep: Ninep) -> None:
+        from garnetlanding.ninep.client import file_servers
+        from garnetlanding.ninep.front import ClientMachine as NinepMachine
+
         servers = file_servers(self.scheduler, self.pool, self.limits, ninep.server_port)
         self._listen("9P", ninep.listen, self.limits.ninep_conns, lambda write: NinepMachine(
             self.core, servers, ninep.exports, self.pool, self.limits, write))
 
     def _start_telemetry(self) -> None:
+        from garnetlanding.telemetry.exporter import Exporter
+
         assert self.config.operator.telemetry
         exporter = self.exporter = self.core.observer = Exporter(
             self.scheduler, self.config.operator.telemetry, self.config.name, self.config.seed, self.pool,
@@ -112,7 +124,11 @@
         # Only followers read the log: without any it would hold on to lists long replaced.
         log_entries = self.limits.store_log_entries if setup.role == "writer" else 0
         store = Store(setup.writer, setup.role != "follower", log_entries)
-        keeper = Keeper(self.scheduler, store, setup.file, self.limits.store_save_us) if setup.file else None
+        keeper = None
+        if setup.file:
+            from garnetlanding.store.file import Keeper
+
+            keeper = Keeper(self.scheduler, store, setup.file, self.limits.store_save_us)
         if store.writable:
             # Each life of the writer has a greater epoch, also when its file is lost.
             store.epoch = max(store.epoch + 1, time.time_ns() // 1_000_000)
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -30,6 +30,7 @@
     Rversion,
     Rwalk,
 )
+from garnetlanding.ninep.setup import Export
 from garnetlanding.ninep.work import Attach, Open, Path, Read, Stat, Walk, Work
 from garnetlanding.runtime.buffers import BufferPool
 
@@ -37,21 +38,6 @@
 OPEN_MODE = 0x03  # the access bits of an open mode; what is above them asks for changes
 
 
-@dataclass(frozen=True, slots=True)
-class Export:
-    """A tree that clients may attach, and how its requests count."""
-
-    name: str  # the aname that clients attach
-    volume: str
-    plan: str
-    cls: str
-    cell: int
-    deadline_us: int
-    hosts: int = 1
-    aname: str = ""  # the tree at the file servers
-    unit_bytes: int = 65536  # a read counts one unit for each begun
-
-
 @dataclass(slots=True)
 class Fid:
     export: Export
--- a/garnetlanding/store/file.py
+++ b/garnetlanding/store/file.py
@@ -8,15 +8,11 @@
 from typing import Any
 
 from garnetlanding.runtime.scheduler import Scheduler
-from garnetlanding.store.store import Entry, Snapshot, Store
+from garnetlanding.store.store import Entry, FileError, Snapshot, Store
 
 log = logging.getLogger(__name__)
 
 
-class FileError(ValueError):
-    """A file that is there and is not a store's."""
-
-
 def load(path: str) -> Snapshot | None:
     try:
         with open(path, encoding="utf-8") as file:
--- a/garnetlanding/store/store.py
+++ b/garnetlanding/store/store.py
@@ -24,6 +24,10 @@
     """What claims to be the writer is not, or no longer."""
 
 
+class FileError(ValueError):
+    """A file that is there and is not a store's."""
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     revision: int
--- a/garnetlanding/telemetry/exporter.py
+++ b/garnetlanding/telemetry/exporter.py
@@ -24,6 +24,7 @@
 from garnetlanding.runtime.scheduler import Expired, Scheduler
 from garnetlanding.runtime.stream import Closed, Stream
 from garnetlanding.telemetry import otlp
+from garnetlanding.telemetry.setup import Collector
 
 log = logging.getLogger(__name__)
 
@@ -32,16 +33,6 @@
 OUTCOMES = {Refused: "refused", Failed: "failed"}
 
 
-@dataclass(frozen=True, slots=True)
-class Collector:
-    """Where the figures go, as an operator sets it up."""
-
-    address: str
-    path: str = ""  # before /v1/traces and /v1/metrics
-    service: str = "garnetlanding"
-    every_us: int = 10 * SECOND
-
-
 @dataclass(frozen=True, slots=True)
 class Ended:
     """One item that has ended, kept as it was told until its turn to be encoded."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,12 +5,13 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from example.toy import Box, Server
 from garnetlanding.core.core import Attempt, Core
 from garnetlanding.core.ports import Answer, Answered, Ask, Backend, Failed, Trial
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.control import Controller
 from garnetlanding.discovery.listing import read_list
+from garnetlanding.emulator.base import Server
+from garnetlanding.emulator.discovery import Box
 from garnetlanding.limits import Limits
 from garnetlanding.resp import codec as resp
 from garnetlanding.resp import front as resp_front
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from example.toy import Box, Discovery
 from garnetlanding.decision.interface import NodeState
 from garnetlanding.discovery.http import HttpError, ResponseParser
 from garnetlanding.discovery.listing import ListError, read_list
 from garnetlanding.discovery.watch import Watch
+from garnetlanding.emulator.discovery import Box, Discovery
 from garnetlanding.limits import Limits
 from garnetlanding.runtime.buffers import BufferPool
 from tests.helpers import MS, SECOND, World
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -5,11 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from example.toy import Box, Brick, FileServer
 from garnetlanding.decision.interface import NodeState, Outcome
+from garnetlanding.emulator.brick import Brick
+from garnetlanding.emulator.discovery import Box
+from garnetlanding.emulator.fileserver import FileServer
 from garnetlanding.ninep import codec as p9
 from garnetlanding.ninep.client import file_servers
-from garnetlanding.ninep.front import ClientMachine, Export
+from garnetlanding.ninep.front import ClientMachine
+from garnetlanding.ninep.setup import Export
 from garnetlanding.runtime.listener import Listener
 from garnetlanding.runtime.stream import parse_address
 from tests.helpers import MS, SECOND, Peer, World, read_command
--- a/tests/test_ninep_model.py
+++ b/tests/test_ninep_model.py
@@ -9,7 +9,8 @@
 from garnetlanding.core.ports import Answer, Failed, Refused, Served
 from garnetlanding.limits import MS, Limits
 from garnetlanding.ninep import codec as p9
-from garnetlanding.ninep.front import ClientMachine, Export, normal
+from garnetlanding.ninep.front import ClientMachine, normal
+from garnetlanding.ninep.setup import Export
 from garnetlanding.ninep.work import Attach, Open, Read, Stat, Walk
 from garnetlanding.runtime.buffers import BufferPool
 from tests.helpers import FakeCore
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from example.toy import Box, Brick
 from garnetlanding.core.ports import Answer, Failed, Refused, Served
 from garnetlanding.decision.interface import Outcome
+from garnetlanding.emulator.brick import Brick
+from garnetlanding.emulator.discovery import Box
 from garnetlanding.limits import MS, Limits
 from garnetlanding.resp import codec
 from garnetlanding.resp.brick import read_reply
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -6,9 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from example.toy import Box, Brick
 from garnetlanding.core.ports import Trial
 from garnetlanding.decision.interface import Outcome
+from garnetlanding.emulator.brick import Brick
+from garnetlanding.emulator.discovery import Box
 from garnetlanding.resp import codec
 from garnetlanding.runtime.buffers import BufferPool, Chain, PoolEmpty
 from garnetlanding.runtime.scheduler import Expired, Scheduler
