--- a/example/__main__.py
+++ b/example/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the toy servers: discovery, two bricks and a file server. Start the head beside them; see README."""
+"""Runs emulated servers: discovery, two bricks and a file server. Start the head beside them; see README."""
 
 from __future__ import annotations
 
--- a/garnetlanding/ninep/client.py
+++ b/garnetlanding/ninep/client.py
@@ -17,7 +17,8 @@
 from garnetlanding.runtime.stream import parse_address
 from garnetlanding.runtime.upstream import PeerFault, Upstream
 
-TAG = 1  # one message is out at a time
+TAG = 1  # one message of an attempt is out at a time
+CLUNK_TAGS = range(2, 0xFFFF)  # of clunks, which nothing waits for
 OFFERS = {"auto": (linux.VERSION, codec.VERSION), codec.VERSION: (codec.VERSION,),
           linux.VERSION: (linux.VERSION,)}
 
@@ -32,6 +33,8 @@
         self._trial: Trial | None = None
         self._work: Work | None = None
         self._program: Steps[Any] | None = None
+        self._clunks: set[int] = set()  # tags of those out
+        self._next_clunk = CLUNK_TAGS[0]
         self.exposed = False
 
     def begin(self, trial: Trial) -> None:
@@ -65,24 +68,38 @@
                 work.trace.unsure += 1
 
     def _end(self, answer: object) -> None:
-        """The attempt has its end; then the connection is tidied, and is free once that is done."""
+        """The attempt has its end, and the connection is free: what it leaves open serves the next one, which
+        another connection might not be allowed to open. Clunks of the rest go out behind it."""
         trial, self._trial = self._trial, None
         if trial:
             work: Work = trial.work
             work.trace.answered += 1
             if work.spec.change and self.exposed:
                 work.trace.unsure -= 1
-            trial.ended(Outcome.SERVED, answer)
             self._work = None
-            self._program = tidy_up(self._session)
-            self._step(None)
-        else:
-            self._program = None
-            self._done()
+            if self._session.free_first:
+                self._program = tidy_up(self._session)
+                trial.ended(Outcome.SERVED, answer)
+                return self._step(None)
+            trial.ended(Outcome.SERVED, answer)
+        self._program = None
+        self._clunk()
+        self._done()
+
+    def _clunk(self) -> None:
+        tidy, self._session.tidy = self._session.tidy, []
+        for fid in tidy:
+            tag = self._next_clunk
+            self._next_clunk = tag + 1 if tag + 1 in CLUNK_TAGS else CLUNK_TAGS[0]
+            self._clunks.add(tag)
+            self._write(codec.encode(tag, codec.Tclunk(fid)))
 
     def feed(self, data: bytes | memoryview) -> None:
         try:
             for tag, message in self._framer.feed(data):
+                if tag in self._clunks and isinstance(message, codec.Rclunk):
+                    self._clunks.remove(tag)
+                    continue
                 if self._program is None or isinstance(message, codec.Malformed):
                     raise PeerFault("answer to nothing" if self._program is None else message)
                 if tag != (codec.NOTAG if isinstance(message, codec.Rversion) else TAG):
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -87,8 +87,10 @@
     def _reset(self) -> None:
         """The session is over, and its fids are gone. What only asks has lost its client; what may have
         changed something already runs to its end, so that what comes after it comes after it."""
-        for tag in list(self._pending):
-            if not self._drop(tag):
+        # The last first, so that none goes out because one before it was dropped; a clunk that waits may
+        # end by the drop of another.
+        for tag in reversed(list(self._pending)):
+            if tag in self._pending and not self._drop(tag):
                 self._pending.pop(tag).settled = True
         self._flushing.clear()
         fids, self.fids = self.fids, {}
@@ -429,7 +431,11 @@
         unknown = work.spec.change and work.trace.exposed
         match answer:
             case Served(Problem() as problem):
-                return problem
+                if not (work.spec.change and work.trace.unsure):
+                    return problem
+                # This attempt failed; of one before it nobody heard the end.
+                words = f"may have happened: {work.op.value}; tried again: {problem.text}"
+                return Problem(problems.EIO, words)
             case Served(value):
                 try:
                     return told(value)
--- a/garnetlanding/ninep/session.py
+++ b/garnetlanding/ninep/session.py
@@ -78,6 +78,7 @@
         self.talk: Talk | None = None
         self.open: OrderedDict[tuple[Path, How], OpenFile] = OrderedDict()
         self.tidy: list[int] = []  # fids to clunk once the attempt has its end
+        self.free_first = False  # one of them keeps others out: the next attempt waits for its clunk
         self._next_fid = ROOT + 1
 
     @property
@@ -97,6 +98,7 @@
         """Leaves a file open for the next attempt, unless nobody else may open it meanwhile."""
         if file.qid.type & QTEXCL:
             self.tidy.append(file.fid)
+            self.free_first = True
             return
         if old := self.open.pop((path, how), None):
             self.tidy.append(old.fid)
@@ -199,3 +201,4 @@
 def tidy_up(session: Session) -> Steps[None]:
     while session.tidy:
         expect((yield codec.Tclunk(session.tidy.pop())), codec.Rclunk)
+    session.free_first = False
--- a/garnetlanding/ninep/talk.py
+++ b/garnetlanding/ninep/talk.py
@@ -15,7 +15,8 @@
 
 
 def cannot(what: str, dialect: str) -> Told:
-    return Told(Problem(problems.EOPNOTSUPP, f"{what} cannot be expressed in {dialect}"))
+    words = f"operation not supported: {what} cannot be expressed in {dialect}"
+    return Told(Problem(problems.EOPNOTSUPP, words))
 
 
 class Talk(Protocol):
--- a/garnetlanding/ninep/talk_linux.py
+++ b/garnetlanding/ninep/talk_linux.py
@@ -86,7 +86,7 @@
     @staticmethod
     def _user(name: str | None) -> int | None:
         if name is not None and not name.isdigit():
-            raise Told(Problem(problems.EINVAL, f"{linux.VERSION} needs users by number, not {name!r:.40}"))
+            raise cannot(f"the user {name!r:.40}, who has no number,", linux.VERSION)
         return None if name is None else user_number(name)
 
     def move(self, session: Session, old: Path, new: Path, qid: Qid | None) -> Steps[None]:
--- a/garnetlanding/ninep/work.py
+++ b/garnetlanding/ninep/work.py
@@ -29,7 +29,7 @@
     walk,
     walk_far,
 )
-from garnetlanding.ninep.talk import New, Talk
+from garnetlanding.ninep.talk import New, Talk, cannot
 from garnetlanding.ninep.talk_linux import LinuxTalk
 from garnetlanding.ninep.talk_plain import ROOM_FOR_ENTRIES
 from garnetlanding.runtime.upstream import PeerFault
@@ -129,11 +129,9 @@
         return Op.OPEN_TRUNCATE if self.truncate else Op.OPEN
 
     def steps(self, session: Session, talk: Talk) -> Steps[OpenFile]:
-        if not self.truncate:
-            assert self.qid
-            return (yield from open_file(session, self.path, self.how, self.qid))
+        """Always asks the server, which may allow it no longer, also where the file is open already."""
         fid, _ = yield from walk(session, self.path, self.qid)
-        file = yield from talk.open(session, fid, self.how, truncate=True)
+        file = yield from talk.open(session, fid, self.how, self.truncate)
         session.tidy.remove(fid)
         session.keep(self.path, self.how, file)
         return file
@@ -281,8 +279,7 @@
             else:
                 raise Told(Problem(problems.EEXIST))
         else:
-            raise Told(Problem(problems.EOPNOTSUPP,
-                               "a new name together with other changes cannot be expressed in 9P2000.L"))
+            raise cannot("a new name together with other changes", talk.version)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, TypeVar
 
@@ -229,12 +231,13 @@
 class Peer:
     """A client's end of a connection: what it got, and whether the other side has closed."""
 
-    def __init__(self, world: World, address: str) -> None:
+    def __init__(self, world: World, address: str, settle: bool = True) -> None:
         self.world, self.got, self.closed = world, b"", False
         self.stays = False  # goes on sending when the other side has no more to say
         self.stream: Stream | None = None
         world.scheduler.spawn(lambda: self._run(address))
-        world.settle()
+        if settle:
+            world.settle()
 
     def _run(self, address: str) -> None:
         w = self.world
@@ -337,7 +340,7 @@
                                         access=access, change_cls="read")}
         self.front_9p = Front(self.core, self.nine, exports, self.pool, self.limits, self.scheduler)
         self.listener = Listener(
-            self.scheduler, "127.0.0.1:0", self.pool, self.limits, 8,
+            self.scheduler, "127.0.0.1:0", self.pool, self.limits, 64,
             lambda write: ClientMachine(self.front_9p, write))
         self.list(self.boxes[0])
 
@@ -356,3 +359,60 @@
 def error(reply: p9.Message) -> str:
     assert isinstance(reply, p9.Rerror), reply
     return reply.ename
+
+
+class WorldWire:
+    """A conformance suite's way into a world: its waiting moves the clock."""
+
+    def __init__(self, world: World, address: str) -> None:
+        self._world, self._peer, self._had = world, Peer(world, address, settle=False), 0
+
+    def send(self, data: bytes) -> None:
+        if self._peer.stream is None:
+            self._world.settle()
+        if self._peer.stream and not self._peer.closed:
+            self._peer.stream.write(data)
+
+    def receive(self, wait_s: float) -> bytes | None:
+        world, peer = self._world, self._peer
+        until = world.time + int(wait_s * SECOND)
+        while True:
+            # What is on its way on loopback mostly needs no waiting for; settling is for the rest.
+            while len(peer.got) == self._had and not peer.closed and world.scheduler.turn(0):
+                pass
+            if len(peer.got) == self._had and not peer.closed:
+                world.settle()
+            if len(peer.got) > self._had:
+                data, self._had = peer.got[self._had:], len(peer.got)
+                return data
+            if peer.closed:
+                return b""
+            if world.time >= until:
+                return None
+            world.time = min(until, world.time + 20 * MS)
+
+    def close(self) -> None:
+        if self._peer.stream and not self._peer.closed:
+            self._peer.stream.close()
+            self._world.scheduler.turn(0)
+
+
+def beside(world: NineWorld, body: Callable[[], None]) -> None:
+    """Runs a client that blocks in a thread of its own, while the world turns here."""
+    failed: list[BaseException] = []
+
+    def run() -> None:
+        try:
+            body()
+        except BaseException as problem:  # noqa: BLE001 - told to the test
+            failed.append(problem)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    turns = 0
+    while thread.is_alive():
+        world.scheduler.turn(1)
+        turns += 1
+        assert turns < 200_000, "the client waits for ever"
+    if failed:
+        raise failed[0]
--- /dev/null
+++ b/tests/test_ninep_library.py
@@ -0,0 +1,34 @@
+"""A second opinion: a client library from the registry, through the head, in both dialects."""
+
+from __future__ import annotations
+
+import p9fs
+import pytest
+
+from garnetlanding.ninep import codec as p9
+from garnetlanding.ninep import linux as p9l
+from tests.helpers import NineWorld, beside
+
+
+@pytest.mark.parametrize("version", [p9.VERSION, p9l.VERSION])
+@pytest.mark.parametrize("offer", [p9.VERSION, p9l.VERSION])
+def test_a_session_of_p9fs_reads_and_writes(version: str, offer: str) -> None:
+    w = NineWorld(access="rw", offer=offer)
+    port = int(w.listener.address.rpartition(":")[2])
+    data = bytes(range(256)) * 400
+
+    def session() -> None:
+        fs = p9fs.P9FileSystem("127.0.0.1", port, "1000", version=version, aname="glossaries",
+                               skip_instance_cache=True)
+        assert sorted(name.strip("/") for name in fs.ls("", detail=False)) == ["readme", "sv"]
+        assert fs.cat("sv/notes") == b"draft"
+        fs.mkdir("made")
+        with fs.open("made/file", "wb") as file:
+            file.write(data)
+        assert fs.cat("made/file") == data and fs.info("made/file")["size"] == len(data)
+        fs.rm("made/file")
+        with pytest.raises(p9fs.P9FileNotFound):
+            fs.info("made/file")
+
+    beside(w, session)
+    assert not w.disk.find("made").names and w.core.open == 0
--- a/tests/test_ninep_write.py
+++ b/tests/test_ninep_write.py
@@ -414,6 +414,21 @@
     assert isinstance(reply, p9.Rread) and len(reply.data) == 512 - 24
 
 
+def test_a_client_that_vanishes_with_a_clunk_waiting_for_a_change() -> None:
+    """Dropping the change ended the clunk, which the reset then missed: its removals were lost."""
+    w, tool = rw()
+    tool.open(5, "readme", mode=p9.OWRITE)
+    create(tool, 6, "temp", mode=p9.ORDWR | p9.ORCLOSE)
+    w.files[0].script.add(Rule(p9.Twalk, Fault.STALL))
+    w.nine._idle.clear()
+    w.files[0].drop()
+    tool.send(p9.Twrite(5, 0, b"x"), tag=1)
+    tool.send(p9.Tclunk(5), tag=2)
+    tool.close()
+    w.run(SECOND)
+    assert "temp" not in w.disk.root.names and not w.front_9p.clients and len(w.front_9p.order) == 0
+
+
 # Files that are no longer what they were.
 
 
