--- a/tests/test_ninep_write.py
+++ b/tests/test_ninep_write.py
@@ -342,6 +342,51 @@
     assert len(heard(w, p9.Twrite, 0)) == sent == 2
 
 
+def test_a_server_that_drains_between_the_walk_and_the_open_is_not_sent_the_open() -> None:
+    w, tool = rw(servers=2)
+    tool.walk(5, "readme")
+    w.drained(0)
+    w.list(w.boxes[1], whole=False)
+    before = len(w.files[0].heard)
+    assert isinstance(tool.ask(p9.Topen(5, p9.ORDWR)), p9.Ropen)
+    assert tool.ask(p9.Twrite(5, 0, b"HELLO")) == p9.Rwrite(5)
+    assert len(w.files[0].heard) == before and w.disk.read("readme") == b"HELLO"
+
+
+def test_a_server_that_drains_within_an_open_is_sent_no_further_message() -> None:
+    """The walk of the attempt was out when the drain was told; the open behind it is new work."""
+    w, tool = rw(servers=2)
+    tool.walk(5, "readme")
+    w.hold(p9.Twalk)
+    tool.send(p9.Topen(5, p9.OWRITE | p9.OTRUNC), tag=1)
+    w.drained(0)
+    w.list(w.boxes[1], whole=False)
+    w.files[0].release()
+    w.run(SECOND)
+    assert isinstance(tool.answers[-1][1], p9.Ropen)
+    assert not heard(w, p9.Topen, 0) and len(heard(w, p9.Topen, 1)) == 1
+
+
+@pytest.mark.parametrize("message", [
+    p9.Twalk(0, 9, ("sv",)), p9.Tcreate(6, "made", 0o644, 1), p9.Tread(7, 0, 200), p9.Twrite(5, 0, b"HELLO")])
+@pytest.mark.parametrize("end", ["flush", "clunk"])
+def test_a_flush_or_a_clunk_in_the_middle_leaves_one_answer_a_tag(message: p9.Message, end: str) -> None:
+    w, tool = rw()
+    tool.open(5, "readme", mode=p9.OWRITE)
+    tool.walk(6)
+    tool.open(7, "sv")
+    w.files[0].script.add(Rule(type(message), Fault.SLOW, delay_us=100 * MS))
+    fid = {p9.Twalk: 0, p9.Tcreate: 6, p9.Tread: 7, p9.Twrite: 5}[type(message)]  # type: ignore[index]
+    tool.send(message, tag=71)
+    tool.send(p9.Tflush(71) if end == "flush" else p9.Tclunk(fid), tag=72)
+    w.run(SECOND)
+    tags = [tag for tag, _ in tool.answers]
+    assert tags.count(72) == 1 and tags.count(71) == (0 if end == "flush" and isinstance(
+        message, p9.Twalk | p9.Tread) else 1)
+    assert tags[-1] == 72 or isinstance(message, p9.Twalk), "what it ends is answered first, or not at all"
+    assert w.core.open == 0 and len(w.front_9p.order) == 0
+
+
 # Flush, clunk, hang up.
 
 
