--- a/tests/test_ninep_write.py
+++ b/tests/test_ninep_write.py
@@ -543,17 +543,21 @@
     assert tool.ask(p9.Tread(5, 2, 9)) == p9.Rread(b"llo")
 
 
-def test_two_clients_make_the_same_file_and_one_wins() -> None:
+def test_two_clients_make_the_same_file_through_two_servers_and_one_wins() -> None:
     w, tool = rw(servers=2)
     other = Tool(w)
     tool.walk(6)
     other.walk(6)
-    for client in (tool, other):
-        assert client.stream
-        client.stream.write(p9.encode(1, p9.Tcreate(6, "one", 0o644, p9.ORDWR)))
+    w.hold(p9.Tcreate)
+    tool.send(p9.Tcreate(6, "one", 0o644, p9.ORDWR), tag=71)
+    w.drained(0)
+    w.list(w.boxes[1], whole=False)
+    assert isinstance(other.ask(p9.Tcreate(6, "one", 0o644, p9.ORDWR)), p9.Rcreate)
+    w.files[0].release()
     w.run(SECOND)
-    kinds = sorted(type(client.answers[-1][1]).__name__ for client in (tool, other))
-    assert kinds == ["Rcreate", "Rerror"] and len([r for r in w.disk.ran if r[0] == "make"]) == 1
+    assert tool.answers[-1] == (71, p9.Rerror("file already exists"))
+    assert len(heard(w, p9.Tcreate, 0)) == len(heard(w, p9.Tcreate, 1)) == 1
+    assert len([r for r in w.disk.ran if r[0] == "make"]) == 1
 
 
 # Servers that do wrong.
