--- a/garnetlanding/ninep/client.py
+++ b/garnetlanding/ninep/client.py
@@ -73,7 +73,6 @@
         trial, self._trial = self._trial, None
         if trial:
             work: Work = trial.work
-            work.trace.answered += 1
             if work.spec.change and self.exposed:
                 work.trace.unsure -= 1
             self._work = None
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -15,6 +15,7 @@
 from garnetlanding.ninep import codec, linux, problems
 from garnetlanding.ninep.codec import NOFID, QTEXCL, READ_OVERHEAD, Message, Qid
 from garnetlanding.ninep.fids import Fid, Pending, Refusal, normal
+from garnetlanding.ninep.model import Path, good_name
 from garnetlanding.ninep.ops import class_for
 from garnetlanding.ninep.problems import Problem
 from garnetlanding.ninep.session import How, OpenFile, Who
@@ -218,9 +219,15 @@
         return at
 
     def good_name(self, name: str) -> None:
-        if name in ("", ".", "..") or "/" in name:
+        if not good_name(name):
             raise Refusal(problems.EINVAL, f"illegal name {name!r:.40}")
 
+    def bounded(self, path: Path) -> None:
+        """Raises Refusal for a path that is longer than a fid may have."""
+        if (len(path) > self.limits.ninep_path_names
+                or sum(map(len, path)) > self.limits.ninep_path_bytes):
+            raise Refusal(problems.ENAMETOOLONG, "path too long")
+
     def opened(self, fid: int) -> tuple[Fid, How]:
         at = self.fid(fid)
         if at.how is None:
@@ -268,9 +275,7 @@
         if any(not name or "/" in name or name == "." for name in message.names):
             raise Refusal(problems.EINVAL, "bad name in walk")
         path = normal(at.path, message.names)
-        if (len(path) > self.limits.ninep_path_names
-                or sum(map(len, path)) > self.limits.ninep_path_bytes):
-            raise Refusal(problems.ENAMETOOLONG, "path too long")
+        self.bounded(path)
         if not message.names:
             self.fids[newfid] = Fid(at.export, at.who, at.path, at.qid)
             self.say(tag, codec.Rwalk(()))
--- a/garnetlanding/ninep/speak_plain.py
+++ b/garnetlanding/ninep/speak_plain.py
@@ -96,7 +96,7 @@
         if message.perm & ~(DMDIR | DM_FLAGS | PERM):
             raise Refusal(problems.EINVAL, f"unknown kind of file {message.perm:#x}")
         path = (*at.path, message.name)
-        self._bounded(path)
+        self._m.bounded(path)
         new = New(message.perm & PERM, message.perm & DM_FLAGS)
 
         def told(file: Any) -> Message:
@@ -118,11 +118,6 @@
         made = MakeDirectory(at.who, at.path, at.qid, message.name, new)
         self._m.ask(tag, Pending(message.fid, made, alone=True), at, told_dir)
 
-    def _bounded(self, path: tuple[str, ...]) -> None:
-        limits = self._m.limits
-        if len(path) > limits.ninep_path_names or sum(map(len, path)) > limits.ninep_path_bytes:
-            raise Refusal(problems.ENAMETOOLONG, "path too long")
-
     def _wstat(self, tag: int, fid: int, stat: bytes) -> None:
         at = self._m.fid(fid)
         if not at.export.writable:
--- a/garnetlanding/ninep/talk_linux.py
+++ b/garnetlanding/ninep/talk_linux.py
@@ -48,14 +48,10 @@
         flags = linux.L_CREATE | lopen_flags(how) | (linux.L_EXCL if new.exclusive else 0) | (
             linux.L_TRUNC if new.truncate else 0)
         mode = posix.S_IFREG | new.perm & 0o7777
-        reply = expect((yield linux.Tlcreate(fid, name, flags, mode, self._gid(new))), linux.Rlcreate)
+        reply = expect((yield linux.Tlcreate(fid, name, flags, mode, new.gid)), linux.Rlcreate)
         session.tidy.remove(fid)
         return OpenFile(fid, reply.qid, reply.iounit)
 
-    @staticmethod
-    def _gid(new: New) -> int:
-        return new.gid
-
     def stat(self, session: Session, fid: int) -> Steps[Attr]:
         return getattr_attr(expect((yield linux.Tgetattr(fid, linux.GETATTR_BASIC)), linux.Rgetattr))
 
@@ -138,12 +134,12 @@
         expect((yield linux.Tfsync(file.fid, int(data_only))), linux.Rfsync)
 
     def make_dir(self, session: Session, fid: int, name: str, new: New) -> Steps[Qid]:
-        reply = yield linux.Tmkdir(fid, name, new.perm & 0o7777, self._gid(new))
+        reply = yield linux.Tmkdir(fid, name, new.perm & 0o7777, new.gid)
         return expect(reply, linux.Rmkdir).qid
 
     def make_node(self, session: Session, fid: int, name: str, new: New, major: int, minor: int,
                   ) -> Steps[Qid]:
-        reply = yield linux.Tmknod(fid, name, new.perm, major, minor, self._gid(new))
+        reply = yield linux.Tmknod(fid, name, new.perm, major, minor, new.gid)
         return expect(reply, linux.Rmknod).qid
 
     def symlink(self, session: Session, fid: int, name: str, target: str, gid: int) -> Steps[Qid]:
--- a/garnetlanding/ninep/work.py
+++ b/garnetlanding/ninep/work.py
@@ -17,6 +17,7 @@
 from garnetlanding.ninep.problems import Problem
 from garnetlanding.ninep.session import (
     NO_FILE,
+    REPLACED,
     How,
     OpenFile,
     Session,
@@ -46,7 +47,6 @@
 
     exposed: bool = False  # a server has had a message whole that changes something
     unsure: int = 0  # attempts that had, and of which no end was heard
-    answered: int = 0  # attempts that a server ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +112,7 @@
         _, qids = yield from walk_far(session, self.path + self.names)
         here = len(self.path)
         if here and self.qid and len(qids) >= here and qids[here - 1].path != self.qid.path:
-            raise Told(Problem(problems.ESTALE, "file was replaced by another"))
+            raise Told(REPLACED)
         found = qids[here:]
         if len(qids) < here or (not found and self.names):
             raise Told(NO_FILE)
