Answer operators' calls: ready, figures, bans, drain; share the clients' address

Seen: the second process of an upgrade exited with 1, the clients' address being taken (Listener, listen()); no call was answered; 4 s after a drain clients were still sent here. Change: ops/ (front, desk, state and its file), http/ (discovery's parser split into what answers and calls share), figures counted in core/, bans above the list in core/directory.py, SO_REUSEPORT where operators may call, PING says no while drained. close_if_idle passed over requests that had come unread, and closed clients that had just connected: it looks for both now.

--- a/garnetlanding/config/platform.py
+++ b/garnetlanding/config/platform.py
@@ -21,9 +21,10 @@
     from garnetlanding.ninep.setup import Ninep
 
 # What a reload cannot change.
-FIXED = ("name", "listen", "limits", "operator")
+FIXED = ("name", "listen", "ops", "limits", "operator")
 # The platform's variables, and the keys that they stand above.
-ABOVE = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
+ABOVE = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY",
+         "ops": "RELAY_OPS"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     limits: Limits
     known: dict[str, Any] = field(default_factory=dict)
     operator: Operator = Operator()
+    ops: str = ""  # where operators call; empty: nowhere
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
@@ -125,6 +127,7 @@
         name=top.text("name"), listen=top.address("listen"), discovery=top.address("discovery"),
         file_discovery=file_discovery, seed=seed, settings=settings, raw_settings=raw_settings,
         limits=limits, known=known, operator=extras,
+        ops=top.address("ops") if top.raw("ops") is not None else "",
     )
 
 
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from garnetlanding.core.directory import Directory
+from garnetlanding.core.figures import Figures, encode
 from garnetlanding.core.ports import (
     Answer,
     Answered,
@@ -37,12 +38,14 @@
 class Attempt:
     """One try of an item at one server. It ends once; what is said of it later is ignored."""
 
-    __slots__ = ("_core", "item", "number", "node", "until_us", "sent_at", "ended_at", "outcome")
+    __slots__ = ("_core", "item", "number", "node", "until_us", "sent_at", "ended_at", "outcome",
+                 "_whole")
 
     def __init__(self, core: Core, item: Item, number: int, node: str, until_us: int, now: int) -> None:
         self._core, self.item, self.number, self.node = core, item, number, node
         self.until_us, self.sent_at, self.ended_at = until_us, now, 0
         self.outcome: api.Outcome | None = None
+        self._whole = False
 
     @property
     def work(self) -> Any:
@@ -53,6 +56,11 @@
             return None
         return self._core.directory.endpoint(self.node)
 
+    def written(self) -> None:
+        if not self._whole:
+            self._whole = True
+            self._core.figures.dispatches += 1
+
     def ended(self, outcome: api.Outcome, value: Any = None, used: int = 0) -> None:
         if self.outcome is None:
             self.outcome = outcome
@@ -79,6 +87,7 @@
         self._controller, self._timers, self._limits = controller, timers, limits
         self._settings = controller.s
         self.directory = Directory()
+        self.figures = Figures(controller.s.classes)
         self.subscriptions: Subscriptions | None = None
         self.observer: Observer | None = None
         self._items: dict[str, Item] = {}
@@ -100,6 +109,7 @@
         if why := self._unfit(ask):
             raise Unfit(why)
         self._count += 1
+        self.figures.taken += 1
         item = Item(f"i{self._count}", ask, backend, answered, self._timers.now)
         self.open += 1
         self._open_bytes += ask.size
@@ -147,14 +157,25 @@
 
     def settings_changed(self, settings: api.Settings) -> None:
         self._settings = settings
+        self.figures.know(settings.classes)
         self._events.append(api.NewSettings(settings))
 
+    def ban(self, banned: frozenset[str]) -> None:
+        """These servers are sent nothing from now on; those put back may be again, as if just started."""
+        if changed := self.directory.ban(banned, self._timers.now):
+            self._events.append(api.NodeList(tuple(changed)))
+
+    def metrics(self) -> str:
+        """The figures as text, true at this moment."""
+        return encode(self.figures, self.open, len(self.directory), self.directory.avoided)
+
     # From the directory
 
     def listed(self, listing: Listing) -> None:
         if odd := self.directory.apply(listing):
             log.warning("odd list", extra={"kv": {"first": odd[0], "count": len(odd)}})
-        self._events.append(api.NodeList(listing.entries, listing.whole, at_start=listing.at_start))
+        entries = tuple(map(self.directory.as_used, listing.entries))
+        self._events.append(api.NodeList(entries, listing.whole, at_start=listing.at_start))
 
     def list_failed(self) -> None:
         self._events.append(api.NodeList(failed=True))
@@ -259,6 +280,7 @@
 
     def _finish(self, item: Item, answer: Answer) -> None:
         item.answer = answer
+        self.figures.end(item.ask.cls, answer)
         self.open -= 1
         self._open_bytes -= item.ask.size
         if item.timer and item.out() is None:
--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from garnetlanding.core.ports import Listing
-from garnetlanding.decision.interface import NodeState
+from garnetlanding.decision.interface import NodeEntry, NodeState
 
 
 class Directory:
+    """The list as told, and above it the servers that an operator has taken out: these count as draining
+    until put back, whatever lists say of them meanwhile, and as just started from then on."""
+
     def __init__(self) -> None:
-        self._state: dict[str, NodeState] = {}
+        self._entries: dict[str, NodeEntry] = {}  # as listed
         self._endpoint: dict[str, str] = {}
-        self._cell: dict[str, int] = {}
+        self.banned: frozenset[str] = frozenset()
+        self._back_us: dict[str, int] = {}  # when those once taken out were put back
 
     def apply(self, listing: Listing) -> list[str]:
         """Takes a listing up. What is odd in it, entry by entry, is returned for the log: it can be read, and
@@ -19,36 +25,63 @@
         odd = self._odd(listing)
         if listing.whole:
             # What a whole list leaves out is gone; its endpoint is forgotten with it.
-            self._state.clear()
+            self._entries.clear()
             self._endpoint.clear()
-            self._cell.clear()
         for entry in listing.entries:
             if entry.state is NodeState.GONE:
                 # Replaced servers come back under other names: kept, these would grow without end.
-                self._state.pop(entry.node, None)
+                self._entries.pop(entry.node, None)
                 self._endpoint.pop(entry.node, None)
-                self._cell.pop(entry.node, None)
             else:
-                self._state[entry.node] = entry.state
+                self._entries[entry.node] = entry
                 self._endpoint[entry.node] = listing.endpoints[entry.node]
-                self._cell[entry.node] = entry.cell
+        if listing.whole:
+            self._back_us = {node: at for node, at in self._back_us.items() if node in self._entries}
         return odd
 
     def _odd(self, listing: Listing) -> list[str]:
-        if listing.whole and not listing.entries and self._state:
-            return [f"whole list is empty, {len(self._state)} servers were known"]
+        if listing.whole and not listing.entries and self._entries:
+            return [f"whole list is empty, {len(self._entries)} servers were known"]
         odd: list[str] = []
         named: set[str] = set()
         for entry in listing.entries:
             if entry.node in named:
                 odd.append(f"{entry.node} is named twice")
             named.add(entry.node)
-            cell = self._cell.get(entry.node, entry.cell)
-            if cell != entry.cell and entry.state is not NodeState.GONE:
+            known = self._entries.get(entry.node, entry)
+            if known.cell != entry.cell and entry.state is not NodeState.GONE:
                 # A server that restarts or is replaced keeps its cell: what is held for either goes astray.
-                odd.append(f"{entry.node} moved from cell {cell} to {entry.cell}")
+                odd.append(f"{entry.node} moved from cell {known.cell} to {entry.cell}")
         return odd
 
+    def as_used(self, entry: NodeEntry) -> NodeEntry:
+        """The entry with what an operator has said of that server above what the list says."""
+        if entry.node in self.banned and entry.state is NodeState.UP:
+            return replace(entry, state=NodeState.DRAINING)
+        # While it was out it was restarted, which the list may tell late: it comes back cold.
+        back = self._back_us.get(entry.node, 0)
+        return replace(entry, started_us=back) if back > entry.started_us else entry
+
+    def ban(self, banned: frozenset[str], now: int) -> list[NodeEntry]:
+        """Takes up who is out from now on; gives back the listed entries that this changes."""
+        changed = sorted(banned ^ self.banned)
+        self._back_us |= {node: now for node in changed if node not in banned}
+        self.banned = banned
+        return [self.as_used(self._entries[node]) for node in changed if node in self._entries]
+
+    def knows(self, node: str) -> bool:
+        return node in self._entries or node in self.banned
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def avoided(self) -> int:
+        """Listed servers that are sent nothing."""
+        return sum(self.endpoint(node) is None for node in self._entries)
+
     def endpoint(self, node: str) -> str | None:
         """None for a server that drains, is gone or was never named: it may not be sent anything."""
-        return self._endpoint[node] if self._state.get(node) is NodeState.UP else None
+        entry = self._entries.get(node)
+        up = entry and entry.state is NodeState.UP and node not in self.banned
+        return self._endpoint[node] if up else None
--- /dev/null
+++ b/garnetlanding/core/figures.py
@@ -0,0 +1,47 @@
+"""What has become of the requests taken: counted where the one final answer is known, so that every front
+counts alike."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from garnetlanding.core.ports import Answer, Refused, Served
+
+
+class Figures:
+    """Counts since the process began. taken = ended + open, at every moment."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.success: Counter[str] = Counter()
+        self.overload: Counter[str] = Counter()
+        self.error: Counter[str] = Counter()
+        self.classes: dict[str, None] = {}
+        self.dispatches = 0  # attempts whose last byte is with the kernel
+        self.taken = 0
+        self.know(classes)
+
+    def know(self, classes: Iterable[str]) -> None:
+        """Classes are told of from the moment they are in the settings, with 0."""
+        self.classes |= dict.fromkeys(classes)
+
+    @property
+    def ended(self) -> int:
+        return self.success.total() + self.overload.total() + self.error.total()
+
+    def end(self, cls: str, answer: Answer) -> None:
+        counts = (self.success if isinstance(answer, Served) else self.overload if isinstance(answer, Refused)
+                  else self.error)
+        counts[cls] += 1
+
+
+def encode(figures: Figures, concurrent: int, targets: int, disabled: int) -> str:
+    """A line for each figure: `app.NAME:VALUE|c` for a count, `|g` for what goes up and down."""
+    lines = [f"app.{name}.{cls}:{counts[cls]}|c"
+             for cls in figures.classes
+             for name, counts in (("success", figures.success), ("overload", figures.overload),
+                                  ("error", figures.error))]
+    lines.append(f"app.dispatches:{figures.dispatches}|c")
+    lines += [f"app.{name}:{value}|g" for name, value in (
+        ("concurrent", concurrent), ("targets", targets), ("targets_disabled", disabled))]
+    return "\n".join(lines) + "\n"
--- a/garnetlanding/core/ports.py
+++ b/garnetlanding/core/ports.py
@@ -77,6 +77,9 @@
     def endpoint(self) -> str | None:
         """Where the server listens; None: it may not be sent anything (any more)."""
 
+    def written(self) -> None:
+        """Its last byte is with the kernel; later calls change nothing."""
+
     def ended(self, outcome: Outcome, value: Any = None, used: int = 0) -> None:
         """The one end of the attempt; later calls change nothing."""
 
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -6,8 +6,10 @@
 import logging
 import os
 import signal
+import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from garnetlanding.config import Config, ConfigError, read_settings, reload
@@ -27,6 +29,7 @@
 
 if TYPE_CHECKING:  # what is off is not imported
     from garnetlanding.ninep.setup import Ninep
+    from garnetlanding.ops.desk import Desk
     from garnetlanding.telemetry.exporter import Exporter
 
 log = logging.getLogger(__name__)
@@ -56,6 +59,8 @@
             self.core.listed, self.core.list_failed, lambda data: keep_list(self.store, data), version)
         self.core.listed(listing)
         self.exporter: Exporter | None = None
+        self.desk: Desk | None = None
+        self.ops: Listener | None = None
 
     def run(self) -> int:
         self._catch_signals()
@@ -71,10 +76,13 @@
         config, limits = self.config, self.limits
         ids: set[bytes] = set()
         front = self._listen("RESP2", config.listen, limits.client_conns, lambda write: RespMachine(
-            self.core, self.bricks, self.pool, limits, ids, write))
+            self.core, self.bricks, self.pool, limits, ids, write,
+            lambda: self.desk is None or self.desk.takes), bool(config.ops))
         # Clients and bricks share descriptors: what bricks do not need takes clients.
         front.lent = lambda: max(0, self.bricks.count - limits.brick_conns_kept)
         self.bricks.borrow = front.lend
+        if config.ops:
+            self._start_ops(front)
         if config.operator.ninep:
             self._start_ninep(config.operator.ninep)
         if config.operator.store.role != "alone":
@@ -82,8 +90,9 @@
         if config.operator.telemetry:
             self._start_telemetry()
 
-    def _listen(self, what: str, address: str, most: int, make: Callable[[Write], ClientMachine]) -> Listener:
-        listener = Listener(self.scheduler, address, self.pool, self.limits, most, make)
+    def _listen(self, what: str, address: str, most: int, make: Callable[[Write], ClientMachine],
+                shared: bool = False) -> Listener:
+        listener = Listener(self.scheduler, address, self.pool, self.limits, most, make, shared)
         self.listeners.append(listener)
         log.info("listening", extra={"kv": {"name": self.config.name, "for": what, "at": listener.address}})
         return listener
@@ -116,6 +125,22 @@
         front = Front(self.core, servers, ninep.exports, self.pool, self.limits, self.scheduler)
         self._listen("9P", ninep.listen, self.limits.ninep_conns, lambda write: NinepMachine(front, write))
 
+    def _start_ops(self, clients: Listener) -> None:
+        from garnetlanding.ops.desk import Desk
+        from garnetlanding.ops.file import StateFile
+        from garnetlanding.ops.front import CallMachine
+
+        limits, known_by = self.limits, self.scheduler.now + self.limits.ops_list_us
+        desk = self.desk = Desk(
+            self.scheduler, self.core, clients, StateFile(tempfile.gettempdir(), self.config.name), limits,
+            lambda: self.watch.told or self.scheduler.now >= known_by)
+        # Places and times of its own: operators are heard however many clients, or half calls, there are.
+        own = replace(limits, new_us=limits.ops_new_us, idle_us=limits.ops_new_us,
+                      idle_clients=limits.ops_conns)
+        at = self.ops = Listener(self.scheduler, self.config.ops, self.pool, own, limits.ops_conns,
+                      lambda write: CallMachine(desk, self.pool, limits, write))
+        log.info("listening", extra={"kv": {"name": self.config.name, "for": "operators", "at": at.address}})
+
     def _start_telemetry(self) -> None:
         from garnetlanding.telemetry.exporter import Exporter
 
@@ -221,6 +246,12 @@
                 # SIGKILL is near, and would lose whatever it finds unanswered.
                 self.core.turn_away_all("ending")
             scheduler.sleep(limits.term_look_us)
+        if self.ops:
+            # An operator who calls at this moment is heard like any other.
+            self.ops.stop_accepting()
+            last = scheduler.now + limits.ops_last_us
+            while len(self.ops) and scheduler.now < last:
+                scheduler.sleep(limits.term_look_us)
         if self.exporter:
             last = scheduler.now + limits.telemetry_last_us
             self.exporter.finish()
--- a/garnetlanding/discovery/watch.py
+++ b/garnetlanding/discovery/watch.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from garnetlanding.core.ports import Listing
-from garnetlanding.discovery.http import HttpError, ResponseParser
 from garnetlanding.discovery.listing import ListError, read_list
+from garnetlanding.http.response import HttpError, ResponseParser
 from garnetlanding.limits import Limits
 from garnetlanding.runtime.buffers import BufferPool, PoolEmpty
 from garnetlanding.runtime.scheduler import Expired, Scheduler
@@ -71,6 +71,7 @@
         self._version = version
         self._stream: Stream | None = None
         self._calls = 0
+        self.told = False  # discovery has said something since the start
 
     def move(self, address: str) -> None:
         """Follows another discovery from now on. What one counted as versions means nothing to the next."""
@@ -90,7 +91,7 @@
             # stands, and the next call asks for the whole of it.
             known, self._version = self._version, 0
             raise ListError(f"field generation: {version} after {known}")
-        self._version = version
+        self._version, self.told = version, True
         self._keep(data)
         log.info("list", extra={"kv": {"version": version, "entries": len(listing.entries),
                                        "whole": listing.whole}})
--- a/garnetlanding/emulator/brick.py
+++ b/garnetlanding/emulator/brick.py
@@ -29,12 +29,13 @@
         super().__init__(*args, **kwargs)
         self.data: dict[bytes, bytes] = {}
         self.heard: list[list[bytes]] = []
+        self.hold = False  # every answer, until released
         self.script: list[bytes | None] = []  # answers to give next; None: hold it back
         self.held: list[tuple[list[bytes], BrickConn]] = []
 
     def command(self, words: list[bytes], conn: BrickConn) -> None:
         self.heard.append(words)
-        answer = self.script.pop(0) if self.script else self.serve(words)
+        answer = self.script.pop(0) if self.script else None if self.hold else self.serve(words)
         if answer is None:
             self.held.append((words, conn))
         else:
--- a/garnetlanding/discovery/http.py
+++ b/garnetlanding/http/response.py
@@ -4,24 +4,22 @@
 
 from collections.abc import Iterator
 
+from garnetlanding.http.head import Head, HttpError
 from garnetlanding.limits import Limits
-from garnetlanding.runtime.buffers import BufferPool, Chain
+from garnetlanding.runtime.buffers import BufferPool
 
-
-class HttpError(ValueError):
-    """Not an HTTP/1.1 answer that can be read on."""
+__all__ = ["HttpError", "ResponseParser"]
 
 
 class ResponseParser:
     """Feed it; it yields the body in pieces. `status` is 0 until the headers are whole."""
 
     def __init__(self, pool: BufferPool, limits: Limits) -> None:
-        self._in, self._limits = Chain(pool), limits
+        self._head = Head(pool, limits)
+        self._in, self.headers = self._head.bytes, self._head.headers
         self._state = self._status_line
         self._left = 0  # bytes left of the body or of its present chunk; -1: until the end of the stream
         self.status = 0
-        self.headers: dict[str, str] = {}
-        self._header_lines = 0
         self.done = False
 
     def feed(self, data: bytes | memoryview) -> Iterator[bytes]:
@@ -46,14 +44,8 @@
 
     # Each state returns a piece of the body, b"" to go on, or None to wait for more.
 
-    def _line(self) -> bytes | None:
-        try:
-            return self._in.line(self._limits.http_line_bytes)
-        except ValueError:
-            raise HttpError("line too long") from None
-
     def _status_line(self) -> bytes | None:
-        line = self._line()
+        line = self._head.line()
         if line is None:
             return None
         parts = line.split(b" ", 2)
@@ -64,15 +56,10 @@
         return b""
 
     def _header(self) -> bytes | None:
-        line = self._line()
-        if line is None:
+        more = self._head.header()
+        if more is None:
             return None
-        if line:
-            name, sep, value = line.decode("latin-1").partition(":")
-            self._header_lines += 1
-            if not sep or self._header_lines > self._limits.http_headers:
-                raise HttpError("bad header")
-            self.headers[name.strip().lower()] = value.strip()
+        if more:
             return b""
         if 100 <= self._status < 200:
             self.headers.clear()
@@ -82,10 +69,8 @@
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
             self._state = self._chunk_size
         else:
-            length = self.headers.get("content-length")
-            if length is not None and not length.isdigit():
-                raise HttpError("bad content-length")
-            self._left = -1 if length is None else int(length)
+            length = self._head.length()
+            self._left = -1 if length is None else length
             self._state = self._body
             self.done = self._left == 0 or self.status in (204, 304)
         return b""
@@ -100,7 +85,7 @@
         return piece
 
     def _chunk_size(self) -> bytes | None:
-        line = self._line()
+        line = self._head.line()
         if line is None:
             return None
         size = line.partition(b";")[0].strip()
@@ -120,7 +105,7 @@
         return piece
 
     def _chunk_end(self) -> bytes | None:
-        line = self._line()
+        line = self._head.line()
         if line is None:
             return None
         if line:
@@ -129,7 +114,7 @@
         return b""
 
     def _trailer(self) -> bytes | None:
-        line = self._line()
+        line = self._head.line()
         if line is None:
             return None
         self.done = not line
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -93,6 +93,7 @@
     discovery_quiet_us: int = 3500 * MS  # a watch says something every 2 s
     http_line_bytes: int = 8192
     http_headers: int = 64
+    http_body_bytes: int = 64 << 10  # of a call, which none needs: read past, so that the answer arrives
     list_line_bytes: int = 1 << 20
 
     # The store.
@@ -113,6 +114,15 @@
     telemetry_last_us: int = SECOND  # for the last round at the end
     telemetry_answer_us: int = 5 * SECOND
 
+    # Operators. Callers that hold a place without a whole call make room after `ops_new_us`, so that with all
+    # places taken and the backlog full the last of them is still heard within its second.
+    ops_conns: int = 12
+    ops_new_us: int = 20 * MS
+    ops_look_us: int = 100 * MS  # between looks at what the other process of an upgrade has said
+    ops_list_us: int = 1500 * MS  # a new process waits so long for discovery's list, then has the known one
+    ops_last_us: int = 200 * MS  # at the end, for calls that have come
+    drain_serve_us: int = 1500 * MS  # drained, kept connections are served for so long; 2 s are allowed
+
     signal_bytes: int = 64  # signals read at once
 
     # SIGTERM: new connections come for up to 0.4 s, requests on open ones for as long as those stay open.
--- /dev/null
+++ b/garnetlanding/ops/desk.py
@@ -0,0 +1,81 @@
+"""Carries out what operators ask: bans and drains, kept on disk before the yes, and taken up from there."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from garnetlanding.core.core import Core
+from garnetlanding.limits import Limits
+from garnetlanding.ops.file import StateFile
+from garnetlanding.ops.state import OpsState
+from garnetlanding.runtime.listener import Listener
+from garnetlanding.runtime.scheduler import Scheduler
+
+log = logging.getLogger(__name__)
+
+
+class Desk:
+    """Implements the front's Desk for one process of a head."""
+
+    def __init__(self, scheduler: Scheduler, core: Core, clients: Listener, file: StateFile, limits: Limits,
+                 told: Callable[[], bool]) -> None:
+        """`told` says whether the list of servers is known."""
+        self._scheduler, self._core, self._clients = scheduler, core, clients
+        self._file, self._limits, self._told = file, limits, told
+        self._state = OpsState()
+        self._drained_at: int | None = None
+        self._take_up(file.load())
+        self._look()
+
+    @property
+    def takes(self) -> bool:
+        """Whether clients are to come here."""
+        return not self._state.draining
+
+    def ready(self) -> bool:
+        return self._told() and self._clients.accepting
+
+    def metrics(self) -> str:
+        return self._core.metrics()
+
+    def disable(self, brick: str) -> bool:
+        known = self._core.directory.knows(brick)
+        if known:
+            self._change("disabled", lambda state: state.ban(brick), brick)
+        return known
+
+    def enable(self, brick: str) -> bool:
+        known = self._core.directory.knows(brick)
+        if known:
+            self._change("enabled", lambda state: state.lift(brick), brick)
+        return known
+
+    def drain(self) -> None:
+        self._change("drained", lambda state: state.drained(True))
+
+    def resume(self) -> None:
+        self._change("resumed", lambda state: state.drained(False))
+
+    def _change(self, what: str, how: Callable[[OpsState], OpsState], brick: str = "") -> None:
+        """On disk first: a yes outlasts this process."""
+        self._take_up(self._file.change(how))
+        log.info(what, extra={"kv": {"brick": brick} if brick else {}})
+
+    def _look(self) -> None:
+        """The other process of an upgrade may have said something since."""
+        self._scheduler.call_at(self._scheduler.now + self._limits.ops_look_us, self._look)
+        if (state := self._file.news()) is not None:
+            self._take_up(state)
+        if self._drained_at is not None and (
+                self._scheduler.now >= self._drained_at + self._limits.drain_serve_us):
+            self._clients.close_idle()
+
+    def _take_up(self, state: OpsState) -> None:
+        old, self._state = self._state, state
+        if state.banned != old.banned:
+            self._core.ban(state.banned)
+        if state.draining and self._drained_at is None:
+            self._drained_at = self._scheduler.now
+        elif not state.draining and self._drained_at is not None:
+            self._drained_at, self._clients.ending = None, False
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -28,10 +28,11 @@
     waiting = False  # all that is fed is taken at once
 
     def __init__(self, core: Core, backend: Backend, pool: BufferPool, limits: Limits, ids: set[bytes],
-                 write: Callable[[bytes], None]) -> None:
-        """`ids` are those of the requests open on all connections of this front."""
+                 write: Callable[[bytes], None], takes: Callable[[], bool] = lambda: True) -> None:
+        """`ids` are those of the requests open on all connections of this front; `takes` tells whether
+        clients are to come here, which is what they ask by PING."""
         self._core, self._backend, self._limits, self._write = core, backend, limits, write
-        self._ids = ids
+        self._ids, self._takes = ids, takes
         self._decoder = codec.Decoder(pool, limits, commands_only=True)
         self._slots: deque[list[bytes | None]] = deque()  # answers owed, in order of the commands
         self._open: dict[int, tuple[str, bytes]] = {}  # tickets and ids of open items, by their slot
@@ -71,6 +72,8 @@
         match words[0].upper():
             case b"BLK.READ" | b"BLK.WRITE":
                 self._ask(slot, words)
+            case b"PING" if not self._takes():
+                self._settle(slot, codec.error("ERR draining"))
             case b"PING":
                 self._settle(slot, codec.bulk(words[1]) if len(words) > 1 else b"+PONG\r\n")
             case b"CLIENT" | b"SELECT":
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -50,7 +50,7 @@
         self.stream = Stream(listener.scheduler, sock, listener.pool, listener.limits)
         self.machine = listener.make(self._written)
         self._parked = self._lingers = False
-        self.used_at = self._scheduler.now
+        self.came_at = self.used_at = self._scheduler.now
         self._begun: int | None = self.used_at  # when the message now awaited began; the first: on connecting
         self._seen = 0  # messages taken when that was noted
         self._task = self._scheduler.spawn(self._run)
@@ -82,7 +82,10 @@
             self._scheduler.call_at(self._scheduler.now, self.close_if_idle)
 
     def close_if_idle(self) -> None:
-        if self.idle:
+        """Not one whose request has come and is not read yet, nor one that has only just connected: these
+        would have to send it again."""
+        fresh = not self.machine.asked and self._scheduler.now < self.came_at + self._listener.limits.new_us
+        if self.idle and not self.machine.ended and not fresh and not self.stream.unread():
             self.stream.close()
 
     def _whole_by(self) -> int | None:
@@ -160,13 +163,13 @@
     """One listening address and the connections it has accepted."""
 
     def __init__(self, scheduler: Scheduler, address: str, pool: BufferPool, limits: Limits, most: int,
-                 make: Callable[[Write], ClientMachine]) -> None:
+                 make: Callable[[Write], ClientMachine], shared: bool = False) -> None:
         self.scheduler, self.pool, self.limits, self.make = scheduler, pool, limits, make
         self._most = most
         self.lent: Callable[[], int] = lambda: 0  # how many of its places others have at present
         self._clients: set[Client] = set()
         self.ending = False
-        self._sock: socket.socket | None = listen(address, limits.backlog)
+        self._sock: socket.socket | None = listen(address, limits.backlog, shared)
         host, port = self._sock.getsockname()[:2]
         self.address = f"{host}:{port}"
         scheduler.spawn(self._accept)
@@ -175,6 +178,10 @@
     def __len__(self) -> int:
         return len(self._clients)
 
+    @property
+    def accepting(self) -> bool:
+        return self._sock is not None
+
     def _accept(self) -> None:
         try:
             while self._sock:
@@ -259,7 +266,7 @@
         sock.close()
 
     def close_idle(self) -> None:
-        """From now on a connection is closed once it has nothing to wait for."""
+        """From now on, and until `ending` is taken back, a connection is closed once it waits for nothing."""
         self.ending = True
         for client in list(self._clients):
             client.close_if_idle()
--- a/garnetlanding/runtime/stream.py
+++ b/garnetlanding/runtime/stream.py
@@ -29,10 +29,13 @@
     return sock
 
 
-def listen(address: str, backlog: int) -> socket.socket:
+def listen(address: str, backlog: int, shared: bool = False) -> socket.socket:
+    """`shared`: another process of the same user may listen there too, and each gets its part."""
     host, port = parse_address(address)
     sock = _socket(host)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.bind((host, port))
     sock.listen(backlog)
     return sock
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -110,6 +110,8 @@
 
     def _flushed(self) -> None:
         self._written = self.machine.exposed
+        if self._written and self.trial:
+            self.trial.written()
 
     def _done(self) -> None:
         self.idle_since = self._upstream.scheduler.now
--- a/garnetlanding/telemetry/exporter.py
+++ b/garnetlanding/telemetry/exporter.py
@@ -18,7 +18,7 @@
 
 from garnetlanding import __version__
 from garnetlanding.core.ports import Answer, Ask, Failed, Refused
-from garnetlanding.discovery.http import HttpError, ResponseParser
+from garnetlanding.http.response import HttpError, ResponseParser
 from garnetlanding.limits import SECOND, Limits
 from garnetlanding.runtime.buffers import BufferPool, PoolEmpty
 from garnetlanding.runtime.scheduler import Expired, Scheduler
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -96,7 +96,7 @@
         w.ask(f"a{i}", volume=f"v{i}")
         w.end(Outcome.SERVED, b"")
         w.run(3 * SECOND, SECOND)
-    assert list(w.core.directory._state) == list(w.core.directory._endpoint) == ["n30"]
+    assert list(w.core.directory._entries) == list(w.core.directory._endpoint) == ["n30"]
     module = w.core._controller
     assert list(module.entries) == ["n30"] and len(module.volumes) <= 21
     assert all(set(node.flows) <= set(module.volumes) for node in module.nodes.values())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,10 +11,10 @@
 from garnetlanding.core.directory import Directory
 from garnetlanding.core.ports import Listing
 from garnetlanding.decision.interface import NodeEntry, NodeState
-from garnetlanding.discovery.http import HttpError, ResponseParser
 from garnetlanding.discovery.listing import ListError, read_list
 from garnetlanding.discovery.watch import Watch
 from garnetlanding.emulator.discovery import Box, Discovery
+from garnetlanding.http.response import HttpError, ResponseParser
 from garnetlanding.limits import Limits
 from garnetlanding.runtime.buffers import BufferPool
 from tests.helpers import MS, SECOND, World, up
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from garnetlanding.decision.interface import NodeState, Outcome
+from garnetlanding.decision.interface import Outcome
 from garnetlanding.emulator.brick import Brick
 from garnetlanding.emulator.discovery import Box
 from garnetlanding.emulator.fileserver import FileServer
@@ -115,8 +115,7 @@
         peer.stream.write(data)
     while len(w.core.starts) < 2:
         w.scheduler.turn(1)
-    w.core.directory._state["b0"] = NodeState.DRAINING
-    w.core.directory._state["b1"] = NodeState.DRAINING
+    w.core.directory.ban(frozenset({"b0", "b1"}), w.time)
     w.settle()
     assert not any(b.heard for b in w.bricks_up) and not any(f.heard for f in w.files_up)
     assert {a.outcome for a in w.core.starts} == {Outcome.UNREACHABLE}
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -272,6 +272,10 @@
     front.stop_accepting()
     front.close_idle()
     w.settle()
+    assert not idle.closed, "it has only just connected: what it asks may be on its way"
+    w.run(w.limits.new_us)
+    front.close_idle()
+    w.settle()
     assert idle.closed and not busy.closed
     w.brick.release()
     w.settle()
