Share a head's bounds between the two processes of an upgrade

Need: both are one head: descriptors and memory are counted jointly, and the cold budget and depth are one head's. Seen: each kept to the whole of every bound (Limits.fit, Controller._allowance, _depth): at 256 descriptors the two could hold 448; a cold brick could get twice the budget. Change: ops/share.py says what part each keeps to, ops/lives.py how they hear each other (locked files in TMPDIR); Settings.part in the module. A process that cannot read a word takes it for a half. Found on the way: Listener has a length, so 'if self.ops' skipped the last calls at the end when no one was calling; and a pool without a buffer of its own could not hear operators.

--- a/garnetlanding/config/platform.py
+++ b/garnetlanding/config/platform.py
@@ -84,7 +84,7 @@
     given = Section(data.raw("limits") or {}, "limits")
     sockets = int(given.number("sockets", 128, 1024))
     memory_mb = given.number("memory_mb", 32, 192)
-    base = Limits().fit(int(memory_mb * (1 << 20)), sockets)
+    base = Limits().fit(int(memory_mb * (1 << 20)), sockets, bool(data.raw("ops")))
     idle_us = int(float(pairs.get("Limits.ConnIdleUs", 0))) or base.brick_idle_us * 5 // 4
     return replace(
         base,
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -107,6 +107,7 @@
         self._count = 0
         self._open_bytes = 0
         self.open = 0  # items not yet answered
+        self.part = 1.0  # of the head's room, to be kept to while another process has the rest
 
     @property
     def now(self) -> int:
@@ -130,7 +131,7 @@
         self.open += 1
         self._open_bytes += ask.size
         self._items[item.ticket] = item
-        if self.open > self._limits.open_items or self._open_bytes > self._limits.open_bytes:
+        if self.used > self.part:
             # The head's own room, not a server's: the one refusal that is not the controller's.
             self._finish(item, Refused(self._settings.max_hold_off_us))
         else:
@@ -140,6 +141,11 @@
                 ask.volume_hosts, ask.is_retry, ask.is_write))
         return item.ticket
 
+    @property
+    def used(self) -> float:
+        """What part of the head's own room is taken."""
+        return max(self.open / self._limits.open_items, self._open_bytes / self._limits.open_bytes)
+
     def _unfit(self, ask: Ask) -> str:
         settings = self._settings
         if ask.cls not in settings.classes:
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:  # what is off is not imported
     from garnetlanding.ninep.setup import Ninep
     from garnetlanding.ops.desk import Desk
+    from garnetlanding.ops.lives import Lives
     from garnetlanding.telemetry.exporter import Exporter
 
 log = logging.getLogger(__name__)
@@ -42,9 +43,17 @@
         self.config, self._read_again = config, read_again
         limits = self.limits = config.limits
         self.scheduler = Scheduler(clock)
-        self.pool = BufferPool(limits.buffer_bytes, limits.pool_keep, limits.pool_most)
+        self.pool = BufferPool(limits.buffer_bytes, limits.pool_keep, limits.pool_most, limits.pool_start)
         self.listeners: list[Listener] = []
         self.store = self._open_store(config.operator.store)
+        self.part = 1.0  # of the head's bounds
+        self.lives: Lives | None = None
+        self.ending = False
+        if config.ops:
+            from garnetlanding.ops.lives import Lives
+
+            self.lives = Lives(tempfile.gettempdir(), config.name)
+            self.part = self.lives.look(0.0, False)
         settings = read_settings(self.store.get(SETTINGS, config.raw_settings))
         self.core = Core(Controller(self._as_used(settings), config.seed), self.scheduler, limits)
         self.scheduler.turn_end.append(self.core.turn)
@@ -79,7 +88,7 @@
             self.core, self.bricks, self.pool, limits, ids, write,
             lambda: self.desk is None or self.desk.takes), bool(config.ops))
         # Clients and bricks share descriptors: what bricks do not need takes clients.
-        front.lent = lambda: max(0, self.bricks.count - limits.brick_conns_kept)
+        front.lent = lambda: max(0, self.bricks.count - self.bricks.kept)
         self.bricks.borrow = front.lend
         if config.ops:
             self._start_ops(front)
@@ -98,7 +107,8 @@
         return listener
 
     def _as_used(self, settings: api.Settings) -> api.Settings:
-        """With the classes that exports derive from those of the settings."""
+        """With the classes that exports derive from those of the settings, and this process's part."""
+        settings = replace(settings, part=self.part)
         ninep = self.config.operator.ninep
         if not ninep or not any(export.writable for export in ninep.exports.values()):
             return settings
@@ -133,7 +143,8 @@
         limits, known_by = self.limits, self.scheduler.now + self.limits.ops_list_us
         desk = self.desk = Desk(
             self.scheduler, self.core, clients, StateFile(tempfile.gettempdir(), self.config.name), limits,
-            lambda: self.watch.told or self.scheduler.now >= known_by)
+            lambda: self.watch.told or self.scheduler.now >= known_by, lambda: self._share(clients))
+        self._keep_to(clients, self.part)
         # Places and times of its own: operators are heard however many clients, or half calls, there are.
         own = replace(limits, new_us=limits.ops_new_us, idle_us=limits.ops_new_us,
                       idle_clients=limits.ops_conns)
@@ -141,6 +152,26 @@
                       lambda write: CallMachine(desk, self.pool, limits, write))
         log.info("listening", extra={"kv": {"name": self.config.name, "for": "operators", "at": at.address}})
 
+    def _share(self, clients: Listener) -> None:
+        """Looks what the head's other process leaves to this one, and makes room for a newer one."""
+        assert self.lives
+        if self.lives.newer:
+            half = self.limits.start_share
+            clients.shed(int(self.limits.client_conns * half))
+            self.bricks.shed(int(self.limits.brick_conns * half))
+        used = max(clients.used, self.bricks.used, self.pool.used, self.core.used)
+        part = self.lives.look(used, self.ending)
+        if part != self.part:
+            self._keep_to(clients, part)
+            self.core.settings_changed(self._as_used(read_settings(
+                self.store.get(SETTINGS, self.config.raw_settings))))
+        # Said once it is kept to: the other process counts on it.
+        self.lives.keep(part)
+
+    def _keep_to(self, clients: Listener, part: float) -> None:
+        self.part = clients.part = self.bricks.part = self.pool.part = self.core.part = part
+        log.info("part of the bounds", extra={"kv": {"part": round(part, 3)}})
+
     def _start_telemetry(self) -> None:
         from garnetlanding.telemetry.exporter import Exporter
 
@@ -232,7 +263,9 @@
         log.info("ending", extra={"kv": {"open": self.core.open}})
         scheduler, limits = self.scheduler, self.limits
         began = scheduler.now
-        while (age := scheduler.now - began) < limits.term_serve_us:
+        self.ending = True
+        # Beside a newer process its clients have somewhere to go: they need not wait here.
+        while not (self.lives and self.lives.newer) and (age := scheduler.now - began) < limits.term_serve_us:
             if age >= limits.term_least_us and not sum(map(len, self.listeners)):
                 break
             scheduler.sleep(limits.term_look_us)
@@ -246,7 +279,7 @@
                 # SIGKILL is near, and would lose whatever it finds unanswered.
                 self.core.turn_away_all("ending")
             scheduler.sleep(limits.term_look_us)
-        if self.ops:
+        if self.ops is not None:
             # An operator who calls at this moment is heard like any other.
             self.ops.stop_accepting()
             last = scheduler.now + limits.ops_last_us
@@ -257,4 +290,6 @@
             self.exporter.finish()
             while not self.exporter.done and scheduler.now < last:
                 scheduler.sleep(limits.term_look_us)
+        if self.lives:
+            self.lives.close()
         scheduler.stop()
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -85,6 +85,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(LOG_LINES, settings.budget_span_us)
         self.rng = random.Random(seed)
+        self.cold_part = settings.part  # of a cold node's budget
         self._follow(settings)
         self.overdue = float(self.tightest)  # after so long most answers have come, over all nodes
         self.usual_latency = float(self.tightest)  # mean over all nodes
@@ -99,6 +100,10 @@
 
     def _follow(self, settings: api.Settings) -> None:
         self.s = settings
+        # What is given up holds at once; what is gained, once the other's sends have left the fall window.
+        self.cold_part = min(self.cold_part, settings.part)
+        if settings.part > self.cold_part:
+            self.at(self.now + settings.fall_us, self._grow_cold_part, settings.part)
         self.tightest = min(c.aim_us for c in settings.classes.values())
         self.dearest = max(c.worth for c in settings.classes.values()) * max(
             p.price for p in settings.plans.values())
@@ -116,12 +121,16 @@
                 self.look_at(node, self.now + HOLD_TICK)
         return self.finish()
 
+    def _grow_cold_part(self, part: float) -> None:
+        self.cold_part = max(self.cold_part, min(part, self.s.part))
+
     def _on_settings(self, e: api.NewSettings) -> None:
         """A volume whose plan has changed starts from its new figures; its tags move with its weight."""
+        old_part = self.s.part
         self._follow(e.settings)
         for name, volume in self.volumes.items():
             plan = self.s.plans.get(volume.plan.name, volume.plan)
-            if plan != volume.plan:
+            if plan != volume.plan or old_part != self.s.part:
                 self._plan_volume(volume, plan)
                 self._reweigh(name, volume, plan.weight)
 
@@ -193,7 +202,7 @@
         return volume
 
     def _plan_volume(self, volume: Volume, plan: api.PlanSpec) -> None:
-        volume.plan, part = plan, volume.hosts
+        volume.plan, part = plan, volume.hosts / max(self.s.part, 1e-9)
         limit_rate, burst = (plan.limit_rate or UNLIMITED) / part, (plan.limit_burst or UNLIMITED) / part
         # A restarted host can't know what its earlier life spent: it starts with one request's worth.
         level = min(burst, self.s.most_units if plan.limit_rate else burst)
@@ -314,7 +323,8 @@
     def _depth(self, h: Health) -> float:
         """Little's law on served completions; slow answers narrow it below the floor (a departure)."""
         little = h.served.total(self.now - RATE_SPAN) / RATE_SPAN * self.tightest
-        return max(1.0, h.narrow * min(DEPTH_CEILING, max(DEPTH_FLOOR, little)))
+        part = self.s.part
+        return max(1.0, h.narrow * min(DEPTH_CEILING * part, max(DEPTH_FLOOR * part, little)))
 
     def _next(self, node: Node, h: Health) -> Request | None:
         """The lowest start tag among those with tokens left that the wait there is not too long for."""
@@ -443,7 +453,7 @@
 
     def _budget_left(self) -> bool:
         since, tick = self.now - self.s.budget_span_us, self.s.tick_us
-        earned = self.s.budget_free + self.s.budget_share * self.taken.total(since + tick)
+        earned = self.s.budget_free * self.s.part + self.s.budget_share * self.taken.total(since + tick)
         return self.s.budget_span_us == 0 or self.extra.total(since - tick) + 1 <= earned
 
     def _learn(self, a: Attempt, r: Request, e: api.Result) -> None:
@@ -501,7 +511,7 @@
         warmth = self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.cold_us
         usual = max(node.usual.rate, self._told_rate(node))
         learnt = usual * self.s.fall_us / SECOND * self.s.fall_multiple * warmth * COLD_SAFETY
-        budget = max(self.s.cold_units / max(1, self.s.hosts), learnt, 1e-9)
+        budget = max(max(self.s.cold_units / max(1, self.s.hosts), learnt) * self.cold_part, 1e-9)
         idle = (self.now - max(h.sent.last, h.cold_since)) * budget / self.s.fall_us
         spent = h.sent.total(self.now - self.s.fall_us)
         return idle if idle > budget else budget - spent, self.s.fall_us / budget
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -95,6 +95,7 @@
     spare_worth: float
     most_units: float
     cells: int = 0  # how many there are; 0: not told
+    part: float = 1.0  # of what is this host's: less while another process of it is at work too
 
 
 @dataclass(slots=True, frozen=True)
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -20,6 +20,7 @@
     # Descriptors. Clients with requests hold a third at most, so bricks need no more than that; a sixth is
     # always theirs. All the rest takes clients, as long as bricks do not need it: some ask nothing, or once.
     spare_sockets: int = 32  # listeners, discovery, signals, telemetry, followers, files
+    ops_sockets: int = 24  # and so many where operators call, for a second process of the head to start with
     client_conns: int = 822
     brick_conns: int = 341
     brick_conns_kept: int = 170
@@ -32,6 +33,7 @@
     buffer_bytes: int = 8192
     pool_keep: int = 256  # free buffers kept for reuse
     pool_most: int = 4096  # buffers in use at once, over all connections
+    pool_start: int = 16  # of these, a process's own from its start on: operators and discovery are heard
     out_bytes: int = 4 << 20  # a peer that reads slowly may leave this much unsent
 
     # RESP2.
@@ -124,6 +126,7 @@
     ops_look_us: int = 100 * MS  # between looks at what the other process of an upgrade has said
     ops_list_us: int = 1500 * MS  # a new process waits so long for discovery's list, then has the known one
     ops_last_us: int = 200 * MS  # at the end, for calls that have come
+    start_share: float = 0.5  # of the bounds, what an older process makes free for a newer one
     drain_serve_us: int = 1500 * MS  # drained, kept connections are served for so long; 2 s are allowed
 
     signal_bytes: int = 64  # signals read at once
@@ -135,15 +138,19 @@
     term_serve_us: int = 1500 * MS
     term_last_us: int = 3200 * MS  # what is still open then gets its final answer
 
-    def fit(self, memory_bytes: int, sockets: int) -> Limits:
+    def fit(self, memory_bytes: int, sockets: int, ops: bool = False) -> Limits:
         """These limits on a machine of that size. Of the memory that the program leaves, a quarter each is
-        for buffers, for what open items carry and for the items; logs and queues get a sixteenth each."""
-        room = memory_bytes - self.program_bytes
-        buffers = min(self.pool_most, room // 4 // self.buffer_bytes)
+        for buffers, for what open items carry and for the items; logs and queues get a sixteenth each. With
+        `ops` a second process may start beside this one: it is left what it needs to start, and the two
+        share the rest."""
+        programs = 2 if ops else 1
+        room = max(memory_bytes - programs * self.program_bytes, memory_bytes // 8)
+        buffers = min(self.pool_most, room // 4 // self.buffer_bytes) - (programs - 1) * self.pool_start
         kept = sockets // 6
         return replace(
             self, brick_conns=sockets // 3, brick_conns_kept=kept,
-            client_conns=sockets - kept - self.spare_sockets, idle_clients=kept,
+            client_conns=sockets - kept - self.spare_sockets - (self.ops_sockets if ops else 0),
+            idle_clients=kept,
             pool_most=buffers, pool_keep=min(self.pool_keep, buffers // 4),
             out_bytes=min(self.out_bytes, room // 8),
             open_bytes=min(self.open_bytes, room // 4),
--- a/garnetlanding/ops/desk.py
+++ b/garnetlanding/ops/desk.py
@@ -19,10 +19,11 @@
     """Implements the front's Desk for one process of a head."""
 
     def __init__(self, scheduler: Scheduler, core: Core, clients: Listener, file: StateFile, limits: Limits,
-                 told: Callable[[], bool]) -> None:
-        """`told` says whether the list of servers is known."""
+                 told: Callable[[], bool], share: Callable[[], None] = lambda: None) -> None:
+        """`told` says whether the list of servers is known; `share` looks what the head's other process
+        leaves to this one."""
         self._scheduler, self._core, self._clients = scheduler, core, clients
-        self._file, self._limits, self._told = file, limits, told
+        self._file, self._limits, self._told, self._share = file, limits, told, share
         self._state = OpsState()
         self._drained_at: int | None = None
         self._take_up(file.load())
@@ -34,7 +35,7 @@
         return not self._state.draining
 
     def ready(self) -> bool:
-        return self._told() and self._clients.accepting
+        return self._told() and self._clients.accepting and self._clients.part > 0
 
     def metrics(self) -> str:
         return self._core.metrics()
@@ -65,6 +66,7 @@
     def _look(self) -> None:
         """The other process of an upgrade may have said something since."""
         self._scheduler.call_at(self._scheduler.now + self._limits.ops_look_us, self._look)
+        self._share()
         if (state := self._file.news()) is not None:
             self._take_up(state)
         if self._drained_at is not None and (
--- a/garnetlanding/ops/file.py
+++ b/garnetlanding/ops/file.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from garnetlanding.ops.state import OpsState, StateError, decode, encode
+from garnetlanding.ops.state import OpsState, StateError, decode, encode, file_name
 
 log = logging.getLogger(__name__)
 
@@ -17,7 +17,7 @@
     """`name` is the head's: a file of another head is not taken."""
 
     def __init__(self, folder: str, name: str) -> None:
-        self._path = os.path.join(folder, "operators.json")
+        self._path = os.path.join(folder, file_name(name, "operators.json"))
         self._name = name
         self._seen: tuple[int, int, int] | None = None
 
--- /dev/null
+++ b/garnetlanding/ops/share.py
@@ -0,0 +1,58 @@
+"""What part of a head's bounds each of its processes keeps to while a new version takes over. No I/O.
+
+At no moment do the parts add up to more than 1: an elder lowers its own before it says so, and a newer
+process takes no more than the elders' words leave.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+VERSION = 1
+WORD_BYTES = 256  # of a word on disk: always rewritten whole
+HALF = 0.5
+HEADROOM = 1.25  # an elder keeps so much more than it uses: what it has taken must be able to finish
+LEAST = 0.125  # and, when it ends, no less than this
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What one process has said: when it started (ns, monotonic, one clock for all) and its part."""
+
+    started: int
+    part: float
+
+
+UNREADABLE = Word(0, HALF)  # of a process that lives, whatever its version: an elder that has come down
+
+
+def encode(name: str, word: Word) -> bytes:
+    body = json.dumps({"version": VERSION, "name": name, "started": word.started, "part": word.part}).encode()
+    return (b"%08x %s" % (zlib.crc32(body), body)).ljust(WORD_BYTES - 1) + b"\n"
+
+
+def decode(name: str, data: bytes) -> Word | None:
+    """None for what cannot be read, or is another head's."""
+    check, _, rest = data.partition(b" ")
+    body = rest.strip()
+    if check != b"%08x" % zlib.crc32(body):
+        return None
+    match json.loads(body):
+        case {"version": int() as version, "name": str() as head, "started": int() as started,
+              "part": int() | float() as part} if version == VERSION and head == name and 0 <= part <= 1:
+            return Word(started, part)
+    return None
+
+
+def next_part(mine: Word, others: Iterable[Word], used: float, ending: bool) -> float:
+    """The part to keep to from now on; `used` is the part of the bounds in use."""
+    others = list(others)
+    elders = sum(word.part for word in others if word.started < mine.started)
+    newer = any(word.started >= mine.started for word in others)
+    free = max(0.0, 1.0 - elders)
+    if not newer:
+        return free
+    return min(mine.part, free, max(used * HEADROOM, LEAST if ending else HALF))
--- a/garnetlanding/runtime/buffers.py
+++ b/garnetlanding/runtime/buffers.py
@@ -10,13 +10,29 @@
 
 
 class BufferPool:
-    def __init__(self, size: int, keep: int, most: int) -> None:
-        self.size, self._keep, self._most = size, keep, most
+    def __init__(self, size: int, keep: int, most: int, start: int = 0) -> None:
+        """`start` of the most are this process's own, whatever part of the rest it keeps to."""
+        self.size, self._keep, self._most, self._start = size, keep, most - start, start
         self._free: list[bytearray] = []
         self.in_use = 0
+        self.part = 1.0  # of the most, to be kept to while another process has the rest
+
+    @property
+    def used(self) -> float:
+        """What part of the most is in use."""
+        return max(0, self.in_use - self._start) / self._most
+
+    @property
+    def scarce(self) -> bool:
+        """More than half of the buffers that may be in use are."""
+        return 2 * self.in_use > self._bound
+
+    @property
+    def _bound(self) -> float:
+        return self._start + self._most * self.part
 
     def take(self) -> bytearray:
-        if self.in_use >= self._most:
+        if self.in_use >= self._bound:
             raise PoolEmpty
         self.in_use += 1
         return self._free.pop() if self._free else bytearray(self.size)
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -84,7 +84,10 @@
 
     @property
     def full(self) -> bool:
-        return not self.stream.closed and self.stream.unsent > self._listener.limits.pass_window
+        """Where buffers run short, whoever has any left unread waits."""
+        listener = self._listener
+        most = 0 if listener.pool.scarce else listener.limits.pass_window
+        return not self.stream.closed and self.stream.unsent > most
 
     def when_room(self, call: Callable[[], None]) -> None:
         self.stream.on_flushed = call
@@ -180,6 +183,7 @@
         self.lent: Callable[[], int] = lambda: 0  # how many of its places others have at present
         self._clients: set[Client] = set()
         self.ending = False
+        self.part = 1.0  # of its places, to be kept to while another process has the rest
         self._sock: socket.socket | None = listen(address, limits.backlog, shared)
         host, port = self._sock.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -230,7 +234,12 @@
 
     @property
     def _free(self) -> int:
-        return self._most - self.lent() - len(self._clients)
+        return int(self._most * self.part) - self.lent() - len(self._clients)
+
+    @property
+    def used(self) -> float:
+        """What part of its places is taken."""
+        return (self.lent() + len(self._clients)) / self._most
 
     def lend(self) -> bool:
         """Whether a place is free, or could be made so."""
@@ -240,8 +249,12 @@
         """Clients may hold so many connections and no more: those kept for good leave them none to ask on."""
         if self._sock:
             self.scheduler.call_at(self.scheduler.now + self.limits.client_sweep_us, self._sweep)
-        if len(self._clients) > self.limits.idle_clients:
-            self._make_room(len(self._clients) - self.limits.idle_clients)
+        self.shed(self.limits.idle_clients)
+
+    def shed(self, most: int) -> None:
+        """Closes connections that may be closed, as long as there are more than that."""
+        if len(self._clients) > most:
+            self._make_room(len(self._clients) - most)
 
     def _make_room(self, places: int = 1) -> bool:
         """Between requests a head may close a connection: first those that never asked for anything, of these
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -175,6 +175,7 @@
         self._idle: dict[Key, list[Connection]] = {}
         self._busy: dict[Trial, Connection] = {}
         self.count = 0
+        self.part = 1.0  # of the connections, to be kept to while another process has the rest
         self.borrow: Callable[[], bool] = lambda: True  # asked for a place beyond those that are its own
         self.faults: Counter[tuple[str, str]] = Counter()  # by server and cause, since the last sweep
         scheduler.call_at(scheduler.now + limits.sweep_us, self._sweep)
@@ -216,10 +217,22 @@
             conn.trial = None
             conn.close()
 
+    @property
+    def kept(self) -> int:
+        """Connections that nobody else may take."""
+        return int(self.limits.brick_conns_kept * self.part)
+
+    @property
+    def used(self) -> float:
+        """What part of the connections is open."""
+        return self.count / self._most
+
     def _room(self) -> bool:
-        kept = self.limits.brick_conns_kept
-        if self.count < self._most and (self.count < kept or self.borrow()):
+        if self.count < int(self._most * self.part) and (self.count < self.kept or self.borrow()):
             return True
+        return self._close_oldest()
+
+    def _close_oldest(self) -> bool:
         idle = (c for conns in self._idle.values() for c in conns)
         oldest = min(idle, key=lambda c: c.idle_since, default=None)
         if oldest is None:
@@ -227,6 +240,11 @@
         oldest.close()
         return True
 
+    def shed(self, most: int) -> None:
+        """Closes idle connections as long as there are more than that."""
+        while self.count > most and self._close_oldest():
+            pass
+
     def freed(self, conn: Connection) -> None:
         if conn.trial:
             self._busy.pop(conn.trial, None)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -220,16 +220,17 @@
         data: bytes, why: str, tmp_path: pathlib.Path, caplog: pytest.LogCaptureFixture) -> None:
     with pytest.raises(StateError, match=why):
         decode("n1", data)
-    (tmp_path / "operators.json").write_bytes(data)
+    (tmp_path / "garnetlanding-n1-operators.json").write_bytes(data)
     w = Office(tmp_path)
     assert w.call("/-/ready", "GET")[0] == 200 and "state file not taken" in caplog.text
     assert w.call("/-/bricks/b0/disable")[0] == 200
-    assert decode("n1", (tmp_path / "operators.json").read_bytes()) == OpsState(frozenset({"b0"}))
+    kept = (tmp_path / "garnetlanding-n1-operators.json").read_bytes()
+    assert decode("n1", kept) == OpsState(frozenset({"b0"}))
 
 
 def test_a_change_that_cannot_be_kept_is_a_no(tmp_path: pathlib.Path) -> None:
     w = Office(tmp_path)
-    (tmp_path / "operators.json.new").mkdir()
+    (tmp_path / "garnetlanding-n1-operators.json.new").mkdir()
     assert w.call("/-/bricks/b0/disable")[0] == 500
     assert w.core.directory.endpoint("b0"), "a yes is owed only for what outlasts the process"
 
