--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -120,6 +120,52 @@
         return _say(WRONG, str(problem))
 
 
+OPS = {
+    "ready": "Ask whether the head takes clients.",
+    "metrics": "Show the head's figures: requests by class and outcome, attempts, bricks.",
+    "disable": "Take a brick out: nothing more is sent to it, whatever the list says, until it is put back.",
+    "enable": "Put a brick back, however often it was taken out. It comes back cold.",
+    "drain": "Send clients away: PING is answered with an error, and connections are closed within 4 s.",
+    "resume": "End a drain.",
+}
+
+
+@commands.group()
+def ops() -> None:
+    """Call a head that runs, as an operator. The exit code is 0 on a yes, 1 on a no or without an answer."""
+
+
+def _ops_command(what: str, help_text: str) -> None:
+    def run(address: str, wait_s: float, as_json: bool, brick: str = "") -> int:
+        from garnetlanding.ops import caller
+
+        try:
+            reply = caller.call(address, what, brick, wait_s)
+            click.echo((caller.as_json if as_json else caller.as_text)(what, reply))
+        except caller.Unreachable as problem:
+            return _say(FAILED, str(problem))
+        except ValueError as problem:
+            return _say(WRONG, str(problem))
+        return 0 if reply.yes else FAILED
+
+    command: Callable[..., Any] = run
+    if what in ("disable", "enable"):
+        command = click.argument("brick")(command)
+    for option in (
+        click.option("--json", "as_json", is_flag=True, help="Answer as one JSON object."),
+        click.option("--wait", "wait_s", default=2.0, show_default=True, type=click.FloatRange(0.01, 600.0),
+                     help="Seconds that the answer may take; a head owes it within 1."),
+        click.option("--address", metavar="HOST:PORT", required=True, envvar="RELAY_OPS", show_envvar=True,
+                     help="The head's address for operators (`ops` in its configuration)."),
+    ):
+        command = option(command)
+    ops.command(what, help=help_text)(command)
+
+
+for _what, _help in OPS.items():
+    _ops_command(_what, _help)
+
+
 def _say(code: int, problem: str) -> int:
     click.echo(f"garnetlanding: {problem}", err=True)
     return code
--- a/garnetlanding/core/figures.py
+++ b/garnetlanding/core/figures.py
@@ -45,3 +45,25 @@
     lines += [f"app.{name}:{value}|g" for name, value in (
         ("concurrent", concurrent), ("targets", targets), ("targets_disabled", disabled))]
     return "\n".join(lines) + "\n"
+
+
+def decode(text: str) -> dict[str, int]:
+    """The figures by name, as `encode` writes them. Raises ValueError, naming the line."""
+    figures: dict[str, int] = {}
+    for line in text.splitlines():
+        name, sep, rest = line.rpartition(":")
+        value, bar, kind = rest.partition("|")
+        if not (sep and bar and name and kind in ("c", "g") and value.isdigit()):
+            raise ValueError(f"not a figure: {line!r:.60}")
+        figures[name] = int(value)
+    return figures
+
+
+def by_class(figures: dict[str, int]) -> dict[str, dict[str, int]]:
+    """Of the figures, those that are counted for each class, by class."""
+    classes: dict[str, dict[str, int]] = {}
+    for name, value in figures.items():
+        words = name.split(".", 2)
+        if len(words) == 3:
+            classes.setdefault(words[2], {})[words[1]] = value
+    return classes
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -12,12 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from garnetlanding import config
+from garnetlanding import cli, config
 from garnetlanding.core.figures import Figures, encode
 from garnetlanding.core.ports import Failed, Refused, Served
 from garnetlanding.decision import interface as api
 from garnetlanding.emulator.brick import Brick
 from garnetlanding.emulator.discovery import Box
+from garnetlanding.ops import caller
 from garnetlanding.ops.desk import Desk
 from garnetlanding.ops.file import StateFile
 from garnetlanding.ops.front import CallMachine
@@ -320,3 +321,36 @@
         assert told["dispatches"] == len(w.brick.heard) == figures.dispatches
     w.run(SECOND)
     assert w.figures()["concurrent"] == 0
+
+
+# The command line's side.
+
+def test_what_a_call_is_and_how_its_answer_is_shown() -> None:
+    assert caller.path_of("ready") == ("GET", "/-/ready")
+    assert caller.path_of("disable", "a/b c") == ("POST", "/-/bricks/a%2Fb%20c/disable")
+    figures = Figures(["read", "save.big"])
+    figures.end("save.big", Refused())
+    reply = caller.Reply(200, encode(figures, 7, 3, 1))
+    lines = caller.as_text("metrics", reply).splitlines()
+    assert lines[0].split() == ["class", "success", "overload", "error"]
+    assert lines[2].split() == ["save.big", "0", "1", "0"] and "concurrent: 7" in lines
+    shown = json.loads(caller.as_json("metrics", reply))
+    assert shown["yes"] and shown["figures"]["app.overload.save.big"] == 1
+    assert json.loads(caller.as_json("drain", caller.Reply(500, "failed\n")))["answer"] == "failed"
+    with pytest.raises(ValueError, match="not a figure: 'app.x:1'"):
+        caller.as_text("metrics", caller.Reply(200, "app.x:1\n"))
+
+
+def test_the_command_s_exit_code_says_yes_no_or_wrong(
+        office: Office, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    def call(address: str, what: str, brick: str = "", wait_s: float = 2.0) -> caller.Reply:
+        method, path = caller.path_of(what, brick)
+        return caller.Reply(*office.call(path, method))
+
+    unheard = cli.main(["ops", "ready", "--address", "127.0.0.1:1", "--wait", "0.2"])
+    wrong = cli.main(["ops", "ready", "--address", "nowhere"])
+    monkeypatch.setattr(caller, "call", call)
+    to = ["--address", office.ops.address]
+    assert (unheard, wrong) == (1, 2) and "127.0.0.1:1: " in capsys.readouterr().err
+    assert cli.main(["ops", "disable", "b0", *to]) == 0 and cli.main(["ops", "disable", "b9", *to]) == 1
+    assert capsys.readouterr().out == "b0 disabled\nno brick b9\n"
