Refuse at once what is held for a cell whose only brick an operator has taken out

Lines: Controller._pump returned while a cell had no process; the entry now says by_hand (core/directory.py).

--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -57,7 +57,7 @@
     def as_used(self, entry: NodeEntry) -> NodeEntry:
         """The entry with what an operator has said of that server above what the list says."""
         if entry.node in self.banned and entry.state is NodeState.UP:
-            return replace(entry, state=NodeState.DRAINING)
+            return replace(entry, state=NodeState.DRAINING, by_hand=True)
         # While it was out it was restarted, which the list may tell late: it comes back cold.
         back = self._back_us.get(entry.node, 0)
         return replace(entry, started_us=back) if back > entry.started_us else entry
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -106,6 +106,7 @@
     state: NodeState
     started_us: int = 0  # 0: long ago
     size: float = 1.0
+    by_hand: bool = False  # an operator has taken it out: it stays away until put back
 
 
 # Events
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -151,6 +151,21 @@
     assert office.call("/-/bricks/b9/disable")[0] == office.call("/-/bricks/b9/enable")[0] == 404
 
 
+def test_work_for_the_only_brick_of_a_cell_is_refused_at_once_when_it_is_taken_out(office: Office) -> None:
+    office.brick.hold = True
+    clients = [office.peer(office.clients.address) for _ in range(8)]
+    for i, client in enumerate(clients):
+        client.say(read_command(f"r{i}", volume=f"v{i}", d=1500))
+    assert len(office.brick.heard) == 4, "the rest are held"
+    office.call("/-/bricks/b0/disable")
+    assert [c.got for c in clients[4:]] == [b"-BUSY 1000\r\n"] * 4
+    late = office.peer(office.clients.address)
+    assert late.say(read_command("late", d=1500)) == b"-BUSY 1000\r\n"
+    office.brick.release()
+    office.settle()
+    assert all(c.got.startswith(b"$") for c in clients[:4]), "what it has it may finish"
+
+
 def test_a_ban_outlasts_the_brick_s_absence_from_the_list(office: Office) -> None:
     office.call("/-/bricks/b0/disable")
     office.list(office.boxes[1])
