Mend the type check of the module; write files durably in one place

mypy turned control.py down since: one name for two types in _pump (a loop variable renamed, nothing else). ops/file.py and store/file.py wrote files whole each in its own copy; runtime/files.py serves both.

--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -353,8 +353,8 @@
     def _pump(self, node: Node) -> None:
         h = node.health
         if node.held and h is None and any(e.by_hand and e.cell == node.cell for e in self.entries.values()):
-            for r in [r for flow in node.flows.values() for r in flow.held]:
-                self._end(r)  # nothing else serves the cell, and nobody knows for how long
+            for held in [r for flow in node.flows.values() for r in flow.held]:
+                self._end(held)  # nothing else serves the cell, and nobody knows for how long
         if not node.held or h is None:
             return
         self._shed(node, h)
--- a/garnetlanding/ops/file.py
+++ b/garnetlanding/ops/file.py
@@ -9,6 +9,7 @@
 from contextlib import contextmanager
 
 from garnetlanding.ops.state import OpsState, StateError, decode, encode, file_name
+from garnetlanding.runtime.files import replace_whole
 
 log = logging.getLogger(__name__)
 
@@ -43,7 +44,7 @@
             old = self.load()
             new = how(old)
             if new != old:
-                self._write(encode(self._name, new))
+                replace_whole(self._path, encode(self._name, new))
             self._seen = self._stamp()
             return new
 
@@ -63,16 +64,3 @@
             yield
         finally:
             os.close(lock)
-
-    def _write(self, data: bytes) -> None:
-        beside = self._path + ".new"
-        with open(beside, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(beside, self._path)
-        folder = os.open(os.path.dirname(self._path) or ".", os.O_RDONLY)
-        try:
-            os.fsync(folder)  # the move itself
-        finally:
-            os.close(folder)
--- a/garnetlanding/store/file.py
+++ b/garnetlanding/store/file.py
@@ -4,9 +4,9 @@
 
 import json
 import logging
-import os
 from typing import Any
 
+from garnetlanding.runtime.files import replace_whole
 from garnetlanding.runtime.scheduler import Scheduler
 from garnetlanding.store.store import Entry, FileError, Snapshot, Store
 
@@ -28,19 +28,8 @@
 
 
 def save(path: str, snapshot: Snapshot) -> None:
-    """Written beside it, flushed to the disk, then moved into place."""
-    beside = path + ".new"
     text = json.dumps({"epoch": snapshot.epoch, "revision": snapshot.revision, "values": snapshot.values})
-    with open(beside, "w", encoding="utf-8") as file:
-        file.write(text)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(beside, path)
-    folder = os.open(os.path.dirname(path) or ".", os.O_RDONLY)
-    try:
-        os.fsync(folder)  # the move itself
-    finally:
-        os.close(folder)
+    replace_whole(path, text.encode())
 
 
 class Keeper:
