--- a/garnetlanding/core/body.py
+++ b/garnetlanding/core/body.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, length: int) -> None:
-        self.length, self.left = length, length
+        self.length = length
         self._held: list[bytes] = []
         self._sink: Sink | None = None
         self.over = False
@@ -44,7 +44,6 @@
 
     def feed(self, data: bytes) -> None:
         """From the server's side: the next bytes."""
-        self.left -= len(data)
         if self.over:
             return
         if self._sink is None:
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -104,7 +104,6 @@
         self.observer: Observer | None = None
         self._items: dict[str, Item] = {}
         self._events: list[api.Event] = []
-        self._count = 0
         self._open_bytes = 0
         self.open = 0  # items not yet answered
         self.part = 1.0  # of the head's room, to be kept to while another process has the rest
@@ -125,9 +124,8 @@
         for what the settings have no place for: it would spoil what the module keeps for others."""
         if why := self._unfit(ask):
             raise Unfit(why)
-        self._count += 1
         self.figures.taken += 1
-        item = Item(f"i{self._count}", ask, backend, answered, self._timers.now)
+        item = Item(f"i{self.figures.taken}", ask, backend, answered, self._timers.now)
         self.open += 1
         self._open_bytes += ask.size
         self._items[item.ticket] = item
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -149,16 +149,17 @@
         own = replace(limits, new_us=limits.ops_new_us, idle_us=limits.ops_new_us,
                       idle_clients=limits.ops_conns)
         at = self.ops = Listener(self.scheduler, self.config.ops, self.pool, own, limits.ops_conns,
-                      lambda write: CallMachine(desk, self.pool, limits, write))
+                                 lambda write: CallMachine(desk, self.pool, limits, write))
         log.info("listening", extra={"kv": {"name": self.config.name, "for": "operators", "at": at.address}})
 
     def _share(self, clients: Listener) -> None:
         """Looks what the head's other process leaves to this one, and makes room for a newer one."""
+        from garnetlanding.ops.share import HALF
+
         assert self.lives
         if self.lives.newer:
-            half = self.limits.start_share
-            clients.shed(int(self.limits.client_conns * half))
-            self.bricks.shed(int(self.limits.brick_conns * half))
+            clients.shed(int(self.limits.client_conns * HALF))
+            self.bricks.shed(int(self.limits.brick_conns * HALF))
         used = max(clients.used, self.bricks.used, self.pool.used, self.core.used)
         part = self.lives.look(used, self.ending)
         if part != self.part:
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -149,6 +149,7 @@
                 self.act(api.Subscribe())
         known = ({} if e.whole else self.entries) | {entry.node: entry for entry in e.entries}
         self.entries = {name: entry for name, entry in known.items() if entry.state is not api.NodeState.GONE}
+        self.by_hand = {entry.cell for entry in self.entries.values() if entry.by_hand}
         up = self.newest_up()
         for cell in [*up, *(c for c in self.nodes if c not in up)]:
             self._serve_cell(self.nodes.setdefault(cell, Node(cell)), up.get(cell))
@@ -352,7 +353,7 @@
 
     def _pump(self, node: Node) -> None:
         h = node.health
-        if node.held and h is None and any(e.by_hand and e.cell == node.cell for e in self.entries.values()):
+        if node.held and h is None and node.cell in self.by_hand:
             for held in [r for flow in node.flows.values() for r in flow.held]:
                 self._end(held)  # nothing else serves the cell, and nobody knows for how long
         if not node.held or h is None:
--- a/garnetlanding/decision/state.py
+++ b/garnetlanding/decision/state.py
@@ -176,6 +176,7 @@
         self.requests: dict[str, Request] = {}
         self.volumes: dict[str, Volume] = {}
         self.entries: dict[str, api.NodeEntry] = {}
+        self.by_hand: set[int] = set()  # cells of which an operator has taken a process out
         self.nodes: dict[int, Node] = {}
         self.turns: dict[str, Turn] = {}
         self.news: dict[int, Node] = {}  # cells to look at in this call
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -126,7 +126,6 @@
     ops_look_us: int = 100 * MS  # between looks at what the other process of an upgrade has said
     ops_list_us: int = 1500 * MS  # a new process waits so long for discovery's list, then has the known one
     ops_last_us: int = 200 * MS  # at the end, for calls that have come
-    start_share: float = 0.5  # of the bounds, what an older process makes free for a newer one
     drain_serve_us: int = 1500 * MS  # drained, kept connections are served for so long; 2 s are allowed
 
     signal_bytes: int = 64  # signals read at once
--- a/garnetlanding/ops/desk.py
+++ b/garnetlanding/ops/desk.py
@@ -16,7 +16,7 @@
 
 
 class Desk:
-    """Implements the front's Desk for one process of a head."""
+    """Implements the front's Operable for one process of a head."""
 
     def __init__(self, scheduler: Scheduler, core: Core, clients: Listener, file: StateFile, limits: Limits,
                  told: Callable[[], bool], share: Callable[[], None] = lambda: None) -> None:
--- a/garnetlanding/ops/front.py
+++ b/garnetlanding/ops/front.py
@@ -21,7 +21,7 @@
            500: "Internal Server Error", 503: "Service Unavailable"}
 
 
-class Desk(Protocol):
+class Operable(Protocol):
     """What operators may ask of a head. Its answers are whether it could be done."""
 
     def ready(self) -> bool: ...
@@ -42,7 +42,8 @@
 
     waiting = session = False
 
-    def __init__(self, desk: Desk, pool: BufferPool, limits: Limits, write: Callable[[bytes], None]) -> None:
+    def __init__(self, desk: Operable, pool: BufferPool, limits: Limits,
+                 write: Callable[[bytes], None]) -> None:
         self._desk, self._write = desk, write
         self._parser = RequestParser(pool, limits)
         self._name_bytes = limits.name_bytes
