Follow a list that is pushed unasked; let a second copy out where the settings allow it

Logs of all four heads hold no line of a list: where lists are pushed the module asks for none, and the watch followed only when asked (daemon.py made it, nothing called subscribe). Ruled out: a watch that broke (no 'watch failed' either) and a check missed at the first byte (the directory held the old list).

Core._send called any second attempt moot, though the settings may allow one: the module's copies were lost, and took the place of a resend.

--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -90,8 +90,8 @@
         self.answer: Answer | None = None
         self.timer: Timer | None = None
 
-    def out(self) -> Attempt | None:
-        return next((a for a in self.attempts if a.outcome is None), None)
+    def out(self) -> list[Attempt]:
+        return [a for a in self.attempts if a.outcome is None]
 
 
 class Core:
@@ -264,9 +264,10 @@
         now = self._timers.now
         until = min(send.until_us or item.until_us, item.until_us)
         attempt = Attempt(self, item, len(item.attempts), send.node, until, now)
-        busy = item.out() is not None
+        most = self._limits.copies if self._settings.parallel_attempts and item.ask.copies else 1
+        busy = len(item.out()) >= most
         item.attempts.append(attempt)
-        # Never two at once, never past the last attempt, never to a server that drains.
+        # Never more at once than is allowed, never past the last attempt, never to a server that drains.
         if (busy or item.answer is not None or now >= until or attempt.endpoint() is None
                 or attempt.number >= self._settings.max_attempts):
             attempt.ended(api.Outcome.MOOT)
@@ -281,7 +282,7 @@
             attempt.ended(outcome)
 
     def _deadline(self, item: Item) -> None:
-        if (attempt := item.out()) is not None:
+        for attempt in item.out():
             self._stop(attempt, api.Outcome.TIMEOUT)
         if item.answer is None:
             # From now on: after a stall both times have passed, and the controller is to have its turn first.
@@ -309,7 +310,7 @@
                 lambda whole: self._ended(item, answer if whole else Failed("cut short")))
         else:
             self._ended(item, answer)
-        if item.timer and item.out() is None:
+        if item.timer and not item.out():
             item.timer.cancel()
         item.answered(answer)
         if self.observer:
@@ -323,5 +324,5 @@
         self.open -= 1
 
     def _drop_settled(self, item: Item) -> None:
-        if item.answer is not None and item.out() is None:
+        if item.answer is not None and not item.out():
             self._items.pop(item.ticket, None)
--- a/garnetlanding/core/ports.py
+++ b/garnetlanding/core/ports.py
@@ -25,6 +25,7 @@
     is_retry: bool = False
     is_write: bool = False
     size: int = 0  # bytes held while it is open
+    copies: bool = True  # a second attempt may be out beside the first, where the settings allow it
 
 
 class Unfit(ValueError):
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -65,8 +65,10 @@
         version, listing = read_list(known, lambda us: us - offset, whole=True, at_start=True)
         self.watch = self.core.subscriptions = Watch(
             self.scheduler, config.discovery, self.pool, limits, lambda us: us - offset,
-            self.core.listed, self.core.list_failed, lambda data: keep_list(self.store, data), version)
+            self.core.listed, self.core.list_failed, lambda data: keep_list(self.store, data), version,
+            lambda: not self.core.settings.ask_for_list)
         self.core.listed(listing)
+        self.watch.hold()
         self.exporter: Exporter | None = None
         self.desk: Desk | None = None
         self.ops: Listener | None = None
@@ -218,6 +220,7 @@
             log.error("settings not taken, the old ones stand", extra={"kv": {"why": problem}})
         else:
             log.info("settings taken")
+            self.watch.hold()
 
     # Signals
 
--- a/garnetlanding/discovery/watch.py
+++ b/garnetlanding/discovery/watch.py
@@ -60,17 +60,24 @@
 
 
 class Watch:
-    """Implements the core's Subscriptions port: one watch at a time, begun when the core asks for it."""
+    """Implements the core's Subscriptions port: one watch at a time. Where discovery is asked, it is begun
+    when the core asks for it, and the core is told when it fails. Where lists are pushed, nobody asks: what
+    the agent on this machine holds counts as told, so the watch stands from the start and is taken up again
+    by itself."""
 
     def __init__(self, scheduler: Scheduler, address: str, pool: BufferPool, limits: Limits,
                  to_monotonic: Callable[[int], int], listed: Callable[[Listing], None],
-                 failed: Callable[[], None], keep: Callable[[dict[str, Any]], None], version: int) -> None:
-        """`keep` gets each list as discovery wrote it, to be known after a restart."""
+                 failed: Callable[[], None], keep: Callable[[dict[str, Any]], None], version: int,
+                 pushed: Callable[[], bool] = lambda: False) -> None:
+        """`keep` gets each list as discovery wrote it, to be known after a restart; `pushed` tells whether
+        the settings in force say that lists are pushed."""
         self._scheduler, self._address, self._pool, self._limits = scheduler, address, pool, limits
         self._to_monotonic, self._listed, self._failed, self._keep = to_monotonic, listed, failed, keep
-        self._version = version
+        self._version, self._pushed = version, pushed
         self._stream: Stream | None = None
         self._calls = 0
+        self._following = False  # a call is out, or its watch stands
+        self._failing = False  # where lists are pushed: it has failed, and no list has come since
         self.told = False  # discovery has said something since the start
 
     def move(self, address: str) -> None:
@@ -78,7 +85,19 @@
         self._address, self._version = address, 0
         self.subscribe()
 
+    def hold(self) -> None:
+        """At the start, after a failure, after new settings: a list that is pushed is followed from now on.
+        Where new settings say that it is asked for, the core decides when to."""
+        if self._following:
+            return
+        if self._pushed():
+            self.subscribe()
+        elif self._failing:
+            self._failing = False
+            self._failed()
+
     def subscribe(self) -> None:
+        self._following = True
         self._calls += 1
         call = self._calls
         if self._stream:
@@ -91,7 +110,7 @@
             # stands, and the next call asks for the whole of it.
             known, self._version = self._version, 0
             raise ListError(f"field generation: {version} after {known}")
-        self._version, self.told = version, True
+        self._version, self.told, self._failing = version, True, False
         self._keep(data)
         log.info("list", extra={"kv": {"version": version, "entries": len(listing.entries),
                                        "whole": listing.whole}})
@@ -102,15 +121,15 @@
         limits, scheduler = self._limits, self._scheduler
         machine = WatchMachine(self._pool, limits, self._to_monotonic, self._tell)
         stream: Stream | None = None
+        patience = limits.agent_answer_us if self._pushed() else limits.discovery_answer_us
         try:
-            stream = Stream.connect(scheduler, self._address, self._pool, limits,
-                                    scheduler.now + limits.discovery_answer_us)
+            stream = Stream.connect(scheduler, self._address, self._pool, limits, scheduler.now + patience)
             self._stream = stream
             stream.write(b"GET /v1/servers?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n"
                          b"Accept: application/json\r\n\r\n" % (self._version, self._address.encode()))
-            asked = scheduler.now
+            answer_by = scheduler.now + patience
             while stream.read(machine.feed, scheduler.now + limits.discovery_quiet_us if machine.answered
-                              else asked + limits.discovery_answer_us):
+                              else answer_by):
                 pass
         except (OSError, Expired, Closed, HttpError, ListError, PoolEmpty) as problem:
             why = problem
@@ -124,6 +143,13 @@
                 stream.close()
         if call == self._calls:
             # A newer call answers for itself; this one has ended and is told once.
-            self._stream = None
-            log.warning("watch failed", extra={"kv": {"why": f"{type(why).__name__}: {why}"}})
-            self._failed()
+            self._stream, self._following = None, False
+            reason = f"{type(why).__name__}: {why}"
+            if not self._pushed():
+                log.warning("watch failed", extra={"kv": {"why": reason}})
+                return self._failed()
+            if not self._failing:
+                # One line for all the calls that fail until it stands again.
+                log.warning("watch failed", extra={"kv": {"why": reason}})
+            self._failing = True
+            scheduler.call_at(scheduler.now + limits.agent_retry_us, self.hold)
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -73,6 +73,7 @@
     # Items in the core.
     open_items: int = 8192
     open_bytes: int = 32 << 20  # what items not yet answered carry
+    copies: int = 2  # attempts of one item out at once, where the settings allow a second copy
     client_wait_us: int = 60 * SECOND  # no client may ask for longer
 
     # Times.
@@ -96,6 +97,10 @@
     # Discovery.
     discovery_answer_us: int = 6 * SECOND  # it fails late calls itself; leaving before loses the turn
     discovery_quiet_us: int = 3500 * MS  # a watch says something every 2 s
+    # Where lists are pushed, an agent on the head's own machine answers at once and at no cost, and what it
+    # has counts as told: it is asked again soon, and by the head, whatever became of the watch before.
+    agent_answer_us: int = 300 * MS
+    agent_retry_us: int = 50 * MS
     http_line_bytes: int = 8192
     http_headers: int = 64
     http_body_bytes: int = 64 << 10  # of a call, which none needs: read past, so that the answer arrives
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -453,7 +453,8 @@
         try:
             pending.ticket = core.accept(
                 Ask(cls, export.plan, export.volume, "/" + "/".join(work.path), float(units), export.cell,
-                    wait_us, export.hosts, work, is_write=work.spec.change, size=self._bytes(work)),
+                    wait_us, export.hosts, work, is_write=work.spec.change, size=self._bytes(work),
+                    copies=False),  # what it keeps of its attempts is for one at a time
                 self.front.backend, answered)
         except Unfit as problem:  # the operator's export and the settings do not go together
             answered(Served(Problem(problems.EINVAL, str(problem))))
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -201,6 +201,24 @@
     assert len(other.heard) == 1 and set(h.daemon.store.under(SERVERS)) == {SERVERS + "b0", SERVERS + "b1"}
 
 
+@pytest.mark.parametrize("before, after", [("pushed", "on_request"), ("on_request", "pushed")])
+def test_a_list_is_followed_under_either_form_of_settings_and_after_a_reload(before: str, after: str) -> None:
+    h = Head(settings=SETTINGS | {"MembershipMode": before})
+    assert h.discovery.calls == ["/v1/servers?follow=1&since=4"]
+    h.file = h.file | {"settings": SETTINGS | {"MembershipMode": after}}
+    h.daemon.reload()
+    h.settle()
+    assert len(h.discovery.calls) == 1, "the watch that stands goes on"
+    h.discovery.conns[0].write(b"0\r\n\r\n")
+    h.run(2 * SECOND)
+    assert len(h.discovery.calls) == 2
+    other = h.server(Brick)
+    h.discovery.tell(Box("b0", h.brick.address, 0, "DRAINING"), Box("b1", other.address, 0))
+    h.settle()
+    h.client().say(read_command("r2"))
+    assert len(other.heard) == 1 and not h.brick.heard
+
+
 def test_at_the_end_clients_are_served_for_a_while_and_all_is_finished() -> None:
     """Closed at once, a client's connection leaves it nobody to ask until the head is back."""
     h = Head()
