Add the lab: many processes of the program under faults, judged by their histories

Need: how several processes behave together when some fail was shown on fake clocks alone.

lab run starts heads, clients, bricks and discovery, puts every datagram between heads through a proxy, kills, stops and restarts processes by script, and checks the histories: one answer a request, attempts, limits replayed over all heads, sums of parts.

--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -130,6 +130,12 @@
 }
 
 
+FLEET = {
+    "fleet/limits": "Show who has which part of each limited volume, and until when.",
+    "fleet/members": "Show the heads: which life of each was heard last, and how long ago.",
+}
+
+
 @commands.group()
 def ops() -> None:
     """Call a head that runs, as an operator. The exit code is 0 on a yes, 1 on a no or without an answer."""
@@ -159,13 +165,61 @@
                      help="The head's address for operators (`ops` in its configuration)."),
     ):
         command = option(command)
-    ops.command(what, help=help_text)(command)
+    group, _, name = what.rpartition("/")
+    (fleet if group else ops).command(name, help=help_text)(command)
 
 
 for _what, _help in OPS.items():
     _ops_command(_what, _help)
 
 
+@ops.group()
+def fleet() -> None:
+    """What a head knows of the others, where heads hear each other."""
+
+
+for _what, _help in FLEET.items():
+    _ops_command(_what, _help)
+
+
+@commands.group()
+def lab() -> None:
+    """Experiments on many processes of the program, with faults between them."""
+
+
+@lab.command("run")
+@click.argument("experiment", type=click.Path())
+@click.option("--out", metavar="DIR", help="Where histories and result go; new or empty.  [default: "
+              "lab-runs/NAME-SEED-TIME]")
+@click.option("--seed", type=click.IntRange(0), help="In place of the file's.")
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object.")
+def lab_run(experiment: str, out: str | None, seed: int | None, as_json: bool) -> int:
+    """Run EXPERIMENT (TOML). The exit code is 0 when every rule held, 1 when one was broken or the run could
+    not be carried through, 2 when the file is wrong."""
+    from garnetlanding.config.section import ConfigError
+    from garnetlanding.lab import report
+
+    try:
+        return report.run(experiment, out, seed, as_json)
+    except ConfigError as problem:
+        return _say(WRONG, str(problem))
+    except (OSError, report.LabError) as problem:
+        return _say(FAILED, f"lab: {problem}")
+
+
+@lab.command("compare")
+@click.argument("folders", nargs=-1, required=True, type=click.Path(exists=True))
+@click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
+def lab_compare(folders: tuple[str, ...], as_json: bool) -> int:
+    """Put the results of runs side by side."""
+    from garnetlanding.lab import report
+
+    try:
+        return report.compare(folders, as_json)
+    except (OSError, ValueError, report.LabError) as problem:
+        return _say(WRONG, f"lab: {problem}")
+
+
 def _say(code: int, problem: str) -> int:
     click.echo(f"garnetlanding: {problem}", err=True)
     return code
--- /dev/null
+++ b/garnetlanding/lab/checks.py
@@ -0,0 +1,142 @@
+"""What must hold in every experiment, found from the histories alone. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from garnetlanding.lab.experiment import PROCESS_FAULTS, SECOND, Experiment
+from garnetlanding.lab.heads import SETTINGS, above
+from garnetlanding.lab.history import Line
+from garnetlanding.lab.plan import Request, hosts_of
+
+ANSWERED = ("served", "refused", "failed")
+
+
+@dataclass(slots=True)
+class Findings:
+    """What the histories say; `broken` names each rule that was broken, and by what."""
+
+    asked: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    by_head: dict[int, Counter[str]] = field(default_factory=dict)
+    attempts: int = 0
+    over: float = 0.0  # units that a volume's store fell below 0 by, at the worst moment
+    used: float = 0.0  # of all that the volumes could have had, the part sent
+    parts_most: float = 0.0  # greatest sum of one volume's parts over its heads, at any time
+    lives: dict[str, int] = field(default_factory=dict)  # how often each head started
+    broken: list[str] = field(default_factory=list)
+
+    @property
+    def sound(self) -> bool:
+        return not self.broken
+
+
+def excused(experiment: Experiment, request: Request) -> bool:
+    """Whether its client may go without an answer: its head was killed or stood still meanwhile."""
+    begins, ends = request.at_us - SLACK_US, request.at_us + request.wait_us + SLACK_US
+    return any(f.kind in PROCESS_FAULTS and f.who == request.head and f.at_us < ends and begins < f.until_us
+               for f in experiment.faults)
+
+
+PARTS_SLACK = 0.001  # histories round
+SEND_US = 100_000  # from a head's decision to its brick, on a loaded machine
+SLACK_US = 1_500_000  # a process takes that long to end or start at most, on a loaded machine
+
+
+def check(experiment: Experiment, plan: list[Request], lines: list[Line]) -> Findings:
+    found = Findings(asked=len(plan))
+    by_id = {request.id: request for request in plan}
+    answers: dict[str, list[str]] = defaultdict(list)
+    parts: dict[tuple[str, str], tuple[float, int]] = {}  # by head and volume: the part, and until when
+    for line in lines:
+        match line["what"]:
+            case "answer":
+                answers[line["id"]].append(line["outcome"])
+            case "extra":
+                found.broken.append(f"one answer: {line['count']} more behind that of {line['id']}")
+            case "ran":
+                found.attempts += 1
+            case "start":
+                found.lives[line["who"]] = found.lives.get(line["who"], 0) + 1
+                for key in [key for key in parts if key[0] == line["who"]]:
+                    del parts[key]  # what it holds it says again
+            case "parts":
+                for volume, part in line["parts"].items():
+                    parts[line["who"], volume] = part, line["until"]
+                    found.parts_most = max(found.parts_most, _sum(experiment, parts, volume, line["t"]))
+    _answers(experiment, by_id, answers, found)
+    _attempts(experiment, lines, found)
+    if found.parts_most > 1 + PARTS_SLACK:
+        found.broken.append(f"parts: a volume's add up to {found.parts_most:.3f}")
+    _limits(experiment, lines, found)
+    return found
+
+
+def _limits(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """Each volume's store, replayed over all heads: full at first, it fills at the limit's rate, and the
+    first send of each request takes its units out."""
+    plan = above(SETTINGS, experiment.settings)["Contracts"][0]
+    rate, burst = float(plan.get("NeverOver", 0)), float(plan.get("LimitBurst", 0))
+    if rate <= 0:
+        return
+    units, seen = experiment.load.units, set[str]()
+    level: dict[str, float] = {}
+    at: dict[str, int] = {}
+    sent: Counter[str] = Counter()
+    for line in lines:
+        if line["what"] != "ran" or line["id"] in seen:
+            continue
+        seen.add(line["id"])
+        volume, now = line["volume"], line["t"]
+        filled = level.get(volume, burst) + rate * (now - at.get(volume, now)) / SECOND
+        level[volume], at[volume] = min(burst, filled) - units, now
+        sent[volume] += units
+        found.over = max(found.over, -level[volume])
+    could = experiment.load.volumes * (burst + rate * experiment.length_us / SECOND)
+    found.used = sent.total() / could
+    # What a head sends in one turn reaches its brick within this; two requests may change places on the way.
+    if found.over > units + rate * SEND_US / SECOND:
+        found.broken.append(f"limits: a volume's store fell {found.over:.1f} units below 0")
+
+
+def _sum(experiment: Experiment, parts: dict[tuple[str, str], tuple[float, int]], volume: str,
+         now: int) -> float:
+    """A head that has said nothing of a volume has not been asked for it, and sends nothing; nor does one
+    that has not looked since what it believed came to its end, as one that stands still."""
+    held = (parts.get((f"n{head}", volume), (0.0, 0)) for head in hosts_of(experiment, int(volume, 16)))
+    return sum(part for part, until in held if until > now)
+
+
+def _answers(experiment: Experiment, by_id: dict[str, Request], answers: dict[str, list[str]],
+             found: Findings) -> None:
+    for name, request in by_id.items():
+        got = answers.get(name, [])
+        outcome = got[0] if got else "never noted"
+        found.outcomes[outcome] += 1
+        found.by_head.setdefault(request.head, Counter())[outcome] += 1
+        if len(got) > 1:
+            found.broken.append(f"one answer: {name} has {len(got)}")
+        elif outcome not in ANSWERED and not excused(experiment, request):
+            found.broken.append(f"one answer: {name} at n{request.head} after {request.at_us} us: {outcome}")
+
+
+def _attempts(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """No request runs more often than is allowed; what was served has run."""
+    most = experiment.settings.get("Limits", {}).get("MaxAttempts", 3)
+    ran = Counter(line["id"] for line in lines if line["what"] == "ran")
+    served = {line["id"] for line in lines if line["what"] == "answer" and line["outcome"] == "served"}
+    for name, times in ran.items():
+        if times > most:
+            found.broken.append(f"attempts: {name} ran {times} times, {most} are allowed")
+    for name in served - set(ran):
+        found.broken.append(f"served: {name} was, and no brick ran it")
+
+
+def served_share(lines: list[Line], head: int, since: int, until: int) -> float:
+    """Of what was asked of a head in a span of the machine's clock, the part served; 1 for nothing asked."""
+    asked = {line["id"] for line in lines if line["what"] == "asked" and line["head"] == head
+             and since <= line["t"] < until}
+    served = sum(line["what"] == "answer" and line["outcome"] == "served" and line["id"] in asked
+                 for line in lines)
+    return served / len(asked) if asked else 1.0
--- /dev/null
+++ b/garnetlanding/lab/experiment.py
@@ -0,0 +1,121 @@
+"""An experiment's file (TOML), read and checked whole before anything is started."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, field
+from typing import Any
+
+from garnetlanding.config.section import ConfigError, Section
+
+SECOND = 1_000_000
+PROCESS_FAULTS = ("kill", "stop", "term")  # until: started again, gone on, started again
+LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder")  # of datagrams from head to head
+BRICK_FAULTS = ("silent",)
+MOST_HEADS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """From `at_us` to `until_us` after the clients begin."""
+
+    kind: str
+    at_us: int
+    until_us: int
+    who: int = -1  # of a process or a brick
+    sender: int = -1  # of a link; -1: every head
+    receiver: int = -1
+    share: float = 1.0  # of the datagrams that it strikes
+    span_us: int = 0  # a delay, and how far apart the copies of a doubled one are
+
+    def strikes(self, sender: int, receiver: int, now: int) -> bool:
+        return (self.at_us <= now < self.until_us and self.sender in (-1, sender)
+                and self.receiver in (-1, receiver))
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What clients ask for: open loop, drawn from the experiment's seed."""
+
+    volumes: int = 4
+    rate: float = 60.0  # requests a second, over all volumes
+    units: int = 2  # of each request
+    hosts: int = 2  # heads that a volume's requests come through
+    lead: float = 1.0  # share of them that comes through its busiest head
+    shift_us: int = 0  # so often another head becomes the busiest; 0: never
+    wait_us: int = 1_500_000  # a client's patience
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    name: str
+    seed: int
+    heads: int
+    bricks: int
+    length_us: int
+    load: Load
+    settings: dict[str, Any] = field(default_factory=dict)  # above those of lab/heads.py, key by key
+    faults: tuple[Fault, ...] = ()
+
+
+def _head(section: Section, key: str, heads: int) -> int:
+    """A head by its name (`n0`), or every one (`*`)."""
+    text = section.text(key, "*")
+    if text == "*":
+        return -1
+    if text[:1] != "n" or not text[1:].isdigit() or int(text[1:]) >= heads:
+        raise ConfigError(f"key {section.name(key)}: {text!r:.40} is none of n0 to n{heads - 1}, nor *")
+    return int(text[1:])
+
+
+def _fault(section: Section, heads: int, bricks: int, length_us: int) -> Fault:
+    kind = section.one_of("kind", PROCESS_FAULTS + LINK_FAULTS + BRICK_FAULTS)
+    at_us = int(section.number("at_s", 0, most=length_us / SECOND) * SECOND)
+    until_us = int(section.number("until_s", 0, length_us / SECOND) * SECOND)
+    if until_us <= at_us:
+        raise ConfigError(f"key {section.name('until_s')}: not after at_s")
+    who = sender = receiver = -1
+    if kind in PROCESS_FAULTS:
+        who = _head(section, "who", heads)
+        if who < 0:
+            raise ConfigError(f"key {section.name('who')}: which head?")
+    elif kind in BRICK_FAULTS:
+        who = int(section.number("brick", 0, most=bricks - 1))
+    else:
+        sender, receiver = _head(section, "from", heads), _head(section, "to", heads)
+    return Fault(kind, at_us, until_us, who, sender, receiver, section.number("share", 0, 1.0, 1.0),
+                 int(section.number("span_ms", 0, 0, 60_000) * 1000))
+
+
+def read(data: object) -> Experiment:
+    """Raises ConfigError, which names the key."""
+    top = Section(data, "", "name seed heads bricks length_s load settings fault")
+    heads = int(top.number("heads", 1, 3, MOST_HEADS))
+    bricks = int(top.number("bricks", 1, 2, 64))
+    length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
+    given = Section(top.raw("load") or {}, "load", "volumes rate units hosts lead shift_s wait_s")
+    load = Load(
+        int(given.number("volumes", 1, 4, 200)), given.number("rate", 0.1, 60, 2000),
+        int(given.number("units", 1, 2, 8)), int(given.number("hosts", 1, min(2, heads), heads)),
+        given.number("lead", 0, 1, 1), int(given.number("shift_s", 0, 0) * SECOND),
+        int(given.number("wait_s", 0.05, 1.5, 60) * SECOND))
+    listed = top.raw("fault") or []
+    if not isinstance(listed, list):
+        raise ConfigError("key fault: expected [[fault]] tables")
+    known = "kind at_s until_s who brick from to share span_ms"
+    faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
+                   for i, one in enumerate(listed))
+    settings = Section(top.raw("settings") or {}, "settings").data
+    return Experiment(top.text("name"), int(top.number("seed", 0, 1)), heads, bricks, length_us, load,
+                      settings, faults)
+
+
+def load(path: str) -> Experiment:
+    """Raises ConfigError, which names the file and the key."""
+    try:
+        with open(path, "rb") as file:
+            return read(tomllib.load(file))
+    except OSError as problem:
+        raise ConfigError(f"cannot read {path}: {problem.strerror}") from None
+    except (ValueError, UnicodeDecodeError) as problem:
+        raise ConfigError(f"{path}: {problem}") from None
--- /dev/null
+++ b/garnetlanding/lab/processes.py
@@ -0,0 +1,52 @@
+"""The processes of an experiment: started here, signalled and ended by their own ids, whatever happens."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+LAST_S = 5.0  # after SIGTERM, before SIGKILL
+PACKAGE = pathlib.Path(__file__).parent.parent.parent
+
+
+class Process:
+    """One process; its output goes to a file, to which a restart adds."""
+
+    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        self._arguments, self._log = arguments, log
+        self._child: subprocess.Popen[bytes] | None = None
+        self.start()
+
+    def start(self) -> None:
+        self.end()
+        # Only what the program itself needs: an address in the environment would stand above the file's.
+        env = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        env["PYTHONPATH"] = str(PACKAGE)
+        with open(self._log, "ab") as log:
+            self._child = subprocess.Popen([sys.executable, "-m", *self._arguments], stdout=log, stderr=log,
+                                           stdin=subprocess.DEVNULL, env=env)
+
+    @property
+    def code(self) -> int | None:
+        """Its exit code; None while it runs."""
+        return self._child.poll() if self._child else 0
+
+    def signal(self, number: int) -> None:
+        if self._child and self._child.poll() is None:
+            self._child.send_signal(number)
+
+    def end(self, orderly: bool = False) -> None:
+        if self._child is None:
+            return
+        if orderly and self._child.poll() is None:
+            self._child.terminate()
+            try:
+                self._child.wait(LAST_S)
+            except subprocess.TimeoutExpired:
+                pass
+        if self._child.poll() is None:
+            self._child.send_signal(signal.SIGKILL)
+        self._child.wait()
--- /dev/null
+++ b/garnetlanding/lab/report.py
@@ -0,0 +1,77 @@
+"""The lab's results for people: progress, tables, JSON."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from garnetlanding.lab import experiment as files
+from garnetlanding.lab.run import LabError, Result
+from garnetlanding.lab.run import run as carry_out
+
+__all__ = ["LabError", "compare", "run"]
+COLUMNS = ("asked", "served", "refused", "failed", "lost", "none", "attempts", "over", "used", "parts_most",
+           "sound")
+WIDTH = 110  # of a table that goes to no terminal
+
+
+def run(path: str, out: str | None, seed: int | None, as_json: bool) -> int:
+    """Raises ConfigError, LabError or OSError."""
+    experiment = files.load(path)
+    if seed is not None:
+        experiment = replace(experiment, seed=seed)
+    folder = pathlib.Path(out or f"lab-runs/{experiment.name}-{experiment.seed}-{time.strftime('%H%M%S')}")
+    with Progress(console=Console(stderr=True), disable=not sys.stderr.isatty()) as bar:
+        task = bar.add_task(experiment.name, total=1.0)
+        result = carry_out(experiment, folder, lambda done: bar.update(task, completed=done))
+    (folder / "experiment.toml").write_bytes(pathlib.Path(path).read_bytes())
+    if as_json:
+        print(json.dumps(result.as_json()))
+    else:
+        show([(experiment.name, result.as_json())])
+        _told(result)
+    return 0 if result.findings.sound else 1
+
+
+def _told(result: Result) -> None:
+    for what in result.findings.broken[:20]:
+        print(f"broken: {what}")
+    if len(result.findings.broken) > 20:
+        print(f"broken: {len(result.findings.broken) - 20} more, see result.json")
+    print(f"histories, logs and result: {result.folder}")
+
+
+def row(told: dict[str, Any]) -> list[str]:
+    outcomes = told["outcomes"]
+    return [str(told[name]) if name in told else str(outcomes.get(name, 0)) for name in COLUMNS]
+
+
+def show(results: list[tuple[str, dict[str, Any]]]) -> None:
+    table = Table("run", *COLUMNS)
+    for name, told in results:
+        table.add_row(name, *row(told))
+    Console(width=None if sys.stdout.isatty() else WIDTH).print(table)
+
+
+def compare(folders: Sequence[str], as_json: bool) -> int:
+    """Raises LabError for a folder without a result."""
+    results: list[tuple[str, dict[str, Any]]] = []
+    for folder in folders:
+        path = pathlib.Path(folder) / "result.json"
+        if not path.exists():
+            raise LabError(f"{folder}: no result.json")
+        results.append((pathlib.Path(folder).name, json.loads(path.read_text())))
+    if as_json:
+        print(json.dumps(dict(results)))
+    else:
+        show(results)
+    return 0
--- /dev/null
+++ b/garnetlanding/lab/run.py
@@ -0,0 +1,191 @@
+"""Runs an experiment: starts what it names, lets its faults happen, ends all, and checks the histories."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+from garnetlanding.lab import checks, heads, history, plan
+from garnetlanding.lab.experiment import SECOND, Experiment, Fault
+from garnetlanding.lab.history import Line
+from garnetlanding.lab.processes import Process
+from garnetlanding.lab.proxy import Links
+from garnetlanding.lab.weather import Weather
+from garnetlanding.lab.world import Surroundings
+from garnetlanding.runtime.scheduler import Expired, Scheduler
+from garnetlanding.runtime.stream import Stream
+
+READY_S = 30  # for all heads to say that they can be used
+SETTLE_US = 1_500_000  # from there to the first request: heads have heard each other
+LAST_S = 10  # after the last request's time
+
+
+class LabError(Exception):
+    """The experiment could not be carried through; its histories prove nothing."""
+
+
+@dataclass(slots=True)
+class Result:
+    experiment: Experiment
+    findings: checks.Findings
+    lines: list[Line]
+    began: int
+    fates: dict[str, int]
+    folder: pathlib.Path
+
+    def as_json(self) -> dict[str, object]:
+        f = self.findings
+        return {"name": self.experiment.name, "seed": self.experiment.seed, "sound": f.sound,
+                "asked": f.asked, "outcomes": dict(f.outcomes), "attempts": f.attempts,
+                "over": round(f.over, 2), "used": round(f.used, 3),
+                "parts_most": round(f.parts_most, 3), "lives": f.lives,
+                "datagrams": self.fates, "broken": f.broken}
+
+
+class Lab:
+    """One run. Addresses are of the loopback range, one block for each process that runs experiments."""
+
+    def __init__(self, experiment: Experiment, folder: pathlib.Path) -> None:
+        self._experiment, self._folder = experiment, folder
+        self._scheduler = Scheduler()
+        self._net = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
+        self._notes = os.open(folder / "bricks.history", os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self._world = Surroundings(self._scheduler, f"{self._net}.1", experiment.heads, experiment.bricks,
+                                   self._note)
+        self._weather = Weather(experiment)
+        self._links = Links(self._scheduler, f"{self._net}.1", self._weather,
+                            [(self._at(i), 7946) for i in range(experiment.heads)])
+        self._heads: list[Process] = []
+        self._clients: Process | None = None
+
+    def _at(self, head: int) -> str:
+        return f"{self._net}.{10 + head}"
+
+    def _note(self, what: str, **more: object) -> None:
+        line = {"t": self._scheduler.now, "who": "bricks", "what": what, **more}
+        os.write(self._notes, json.dumps(line, separators=(",", ":")).encode() + b"\n")
+
+    def run(self, progress: Callable[[float], None]) -> Result:
+        """`progress` is told how much of it is done, from 0 to 1."""
+        e, requests = self._experiment, plan.draw(self._experiment)
+        try:
+            self._start_heads()
+            began = self._scheduler.now + SETTLE_US
+            self._links.began = began
+            for fault in e.faults:
+                self._plan_fault(fault, began)
+            self._start_clients(requests, began)
+            last = began + e.length_us + e.load.wait_us + LAST_S * SECOND
+            assert self._clients
+            while self._clients.code is None:
+                self._scheduler.turn(50)
+                progress(min(1.0, max(0, self._scheduler.now - began) / e.length_us))
+                if self._scheduler.now > last:
+                    raise LabError("the clients did not come to an end")
+            if self._clients.code:
+                raise LabError(f"the clients ended with code {self._clients.code}: see clients.log")
+        finally:
+            self._end()
+        lines = history.read(sorted(self._folder.glob("*.history")))
+        findings = checks.check(e, requests, lines)
+        return Result(e, findings, lines, began, dict(self._weather.fates), self._folder)
+
+    def _start_heads(self) -> None:
+        e = self._experiment
+        for me in range(e.heads):
+            config = heads.configuration(
+                e, me, f"{self._at(me)}:6379", self._world.discoveries[me].address, f"{self._at(me)}:7946",
+                self._links.peers(me))
+            (self._folder / f"n{me}.json").write_text(json.dumps(config, indent=1))
+            (self._folder / f"n{me}.toml").write_text(
+                heads.operators_file(str(self._folder / f"n{me}.history")))
+            self._heads.append(Process(
+                ["garnetlanding", "serve", "--config", str(self._folder / f"n{me}.json"), "--operator",
+                 str(self._folder / f"n{me}.toml")], self._folder / f"n{me}.log"))
+        waiting = set(range(e.heads))
+        last = self._scheduler.now + READY_S * SECOND
+        for me in range(e.heads):
+            self._scheduler.spawn(lambda me=me: self._greet(me, waiting, last))  # type: ignore[misc]
+        while waiting:
+            self._scheduler.turn(50)
+            for me, head in enumerate(self._heads):
+                if head.code is not None:
+                    raise LabError(f"n{me} ended with code {head.code}: see n{me}.log")
+            if self._scheduler.now > last:
+                raise LabError(f"n{min(waiting)} is not ready after {READY_S} s: see n{min(waiting)}.log")
+
+    def _greet(self, me: int, waiting: set[int], last: int) -> None:
+        """Until the head has answered PING: a head is used once it has."""
+        world, scheduler = self._world.bricks[0], self._scheduler
+        while me in waiting and scheduler.now < last:
+            try:
+                stream = Stream.connect(scheduler, f"{self._at(me)}:6379", world.pool, world.limits,
+                                        scheduler.now + SECOND)
+            except (OSError, Expired):
+                scheduler.sleep(SECOND // 50)
+                continue
+            stream.write(b"PING\r\n")
+            try:
+                if stream.read(lambda data: waiting.discard(me), scheduler.now + SECOND):
+                    continue
+            except Expired:
+                pass
+            finally:
+                stream.close()
+
+    def _start_clients(self, requests: list[plan.Request], began: int) -> None:
+        told = {"heads": [f"{self._at(i)}:6379" for i in range(self._experiment.heads)], "begins": began,
+                "requests": [asdict(r) for r in requests]}
+        (self._folder / "plan.json").write_text(json.dumps(told))
+        files = [str(self._folder / "plan.json"), str(self._folder / "clients.history")]
+        self._clients = Process(["garnetlanding.lab.clients", *files], self._folder / "clients.log")
+
+    def _plan_fault(self, fault: Fault, began: int) -> None:
+        def at(when: int, what: str, act: Callable[[], None]) -> None:
+            def happen() -> None:
+                self._note("fault", kind=what, which=fault.who)
+                act()
+            self._scheduler.call_at(began + when, happen)
+
+        if fault.kind == "silent":
+            brick = self._world.bricks[fault.who]
+            at(fault.at_us, "silent", lambda: setattr(brick, "silent", True))
+            at(fault.until_us, "heard", lambda: setattr(brick, "silent", False))
+        elif fault.who >= 0:
+            head = self._heads[fault.who]
+            begin = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "term": signal.SIGTERM}[fault.kind]
+            at(fault.at_us, fault.kind, lambda: head.signal(begin))
+            if fault.kind == "stop":
+                at(fault.until_us, "cont", lambda: head.signal(signal.SIGCONT))
+            else:
+                at(fault.until_us, "start", head.start)
+
+    def _end(self) -> None:
+        """Every process by its own id, also after a failure: one that stands still has to go on to end."""
+        for process in [self._clients, *self._heads]:
+            if process:
+                process.signal(signal.SIGCONT)
+        if self._clients:
+            self._clients.end()
+        for head in self._heads:
+            head.signal(signal.SIGTERM)
+        for head in self._heads:
+            head.end(orderly=True)
+        self._links.close()
+        os.close(self._notes)
+        self._scheduler.close()
+
+
+def run(experiment: Experiment, folder: pathlib.Path,
+        progress: Callable[[float], None] = lambda done: None) -> Result:
+    """Raises LabError where it could not be carried through. The folder must be new or empty."""
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        raise LabError(f"{folder} is not empty: its histories would be mixed")
+    result = Lab(experiment, folder).run(progress)
+    (folder / "result.json").write_text(json.dumps(result.as_json(), indent=1) + "\n")
+    return result
--- /dev/null
+++ b/garnetlanding/lab/world.py
@@ -0,0 +1,59 @@
+"""What stands round the heads of an experiment: a discovery for each, and bricks that work at a rate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from garnetlanding.emulator.brick import Brick, BrickConn
+from garnetlanding.emulator.discovery import Box, Discovery
+from garnetlanding.limits import SECOND, Limits
+from garnetlanding.resp import codec as resp
+from garnetlanding.runtime.buffers import BufferPool
+from garnetlanding.runtime.scheduler import Scheduler
+
+UNITS_A_SECOND = 200.0  # of a brick
+BEAT_US = 2 * SECOND
+
+
+class LabBrick(Brick):
+    """Serves in turn, at a rate; says back the piece's name, so that a client knows its own answer."""
+
+    def __init__(self, *args: Any, note: Callable[..., None], number: int, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._note, self.number = note, number
+        self.silent = False
+        self._free_at = 0
+
+    def command(self, words: list[bytes], conn: BrickConn) -> None:
+        if words[0].upper() != b"BLK.READ" or len(words) != 4:
+            conn.write(b"-SYNTAX\r\n")
+            return
+        pairs = dict(pair.partition(b"=")[::2] for pair in words[3].split(b","))
+        self._note("ran", id=words[2].decode(), brick=self.number, volume=pairs[b"volume"].decode())
+        if self.silent:
+            return
+        units = float(pairs[b"units"])
+        self._free_at = max(self._free_at, self.scheduler.now) + int(units / UNITS_A_SECOND * SECOND)
+        answer = b"*3\r\n" + resp.bulk(words[1]) + b"$-1\r\n$-1\r\n"
+        self.scheduler.call_at(self._free_at, lambda: None if conn.ended else conn.write(answer))
+
+
+class Surroundings:
+    def __init__(self, scheduler: Scheduler, host: str, heads: int, bricks: int,
+                 note: Callable[..., None]) -> None:
+        limits = Limits()
+        pool = BufferPool(limits.buffer_bytes, limits.pool_keep, limits.pool_most)
+        self.bricks = [LabBrick(scheduler, pool, limits, f"{host}:0", note=note, number=i)
+                       for i in range(bricks)]
+        self.discoveries = [Discovery(scheduler, pool, limits, f"{host}:0") for _ in range(heads)]
+        for discovery in self.discoveries:
+            discovery.boxes = [Box(f"b{b.number}", b.address, b.number) for b in self.bricks]
+        self._scheduler = scheduler
+        scheduler.spawn(self._beat)
+
+    def _beat(self) -> None:
+        while True:
+            self._scheduler.sleep(BEAT_US)
+            for discovery in self.discoveries:
+                discovery.beat()
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,208 @@
+"""Experiments: their files, their weather, their checks; and processes of the program under faults."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from garnetlanding import cli
+from garnetlanding.config.section import ConfigError
+from garnetlanding.lab import checks, history, plan
+from garnetlanding.lab.experiment import SECOND, Experiment, Fault, Load, load, read
+from garnetlanding.lab.run import LabError, Result, run
+from garnetlanding.lab.weather import Weather
+
+ROOT = pathlib.Path(__file__).parent.parent
+CALM = Experiment("calm", 5, 3, 3, 4 * SECOND, Load(volumes=3, rate=90.0))
+
+
+def fault(kind: str, at: float, until: float, **more: Any) -> Fault:
+    return Fault(kind, int(at * SECOND), int(until * SECOND), **more)
+
+
+# Files
+
+@pytest.mark.parametrize("change, key", [
+    ({"name": ""}, "key name"), ({"heads": 99}, "key heads"), ({"extra": 1}, "key extra: not known"),
+    ({"load": {"rate": 0}}, "key load.rate"), ({"load": {"hosts": 4}}, "key load.hosts"),
+    ({"fault": [{"kind": "rain"}]}, "key fault.0.kind"),
+    ({"fault": [{"kind": "kill", "at_s": 1, "until_s": 2}]}, "key fault.0.who: which head"),
+    ({"fault": [{"kind": "kill", "who": "n3", "at_s": 1, "until_s": 2}]}, "key fault.0.who: 'n3' is none of"),
+    ({"fault": [{"kind": "cut", "at_s": 2, "until_s": 2}]}, "key fault.0.until_s: not after"),
+    ({"fault": [{"kind": "cut", "at_s": 9, "until_s": 10}]}, "key fault.0.at_s"),
+    ({"fault": [{"kind": "loss", "at_s": 1, "until_s": 2, "share": 2}]}, "key fault.0.share"),
+    ({"fault": {"kind": "cut"}}, "key fault: expected"),
+])
+def test_a_fault_in_an_experiments_file_names_its_key(change: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError, match=key):
+        read({"name": "x"} | change)
+
+
+def test_every_experiment_that_is_delivered_is_sound() -> None:
+    files = sorted((ROOT / "experiments").glob("*.toml"))
+    assert len(files) >= 5 and all(load(str(path)).name == path.stem for path in files)
+
+
+def test_the_command_line_says_what_is_wrong(tmp_path: pathlib.Path,
+                                             capsys: pytest.CaptureFixture[str]) -> None:
+    assert cli.main(["lab", "run", str(tmp_path / "none.toml")]) == 2
+    bad = tmp_path / "bad.toml"
+    bad.write_text("name = 'x'\nheads = 0\n")
+    assert cli.main(["lab", "run", str(bad)]) == 2
+    assert cli.main(["lab", "compare", str(tmp_path)]) == 2
+    told = capsys.readouterr().err
+    assert "cannot read" in told and "key heads" in told and "no result.json" in told
+    (tmp_path / "result.json").write_text(json.dumps({"asked": 3, "outcomes": {"served": 3}, "sound": True}))
+    assert cli.main(["lab", "compare", str(tmp_path), "--json"]) == 0
+
+
+# Decisions
+
+def test_the_same_seed_asks_the_same_and_has_the_same_weather() -> None:
+    half = dict(share=0.5, span_us=9)
+    storm = replace(CALM, faults=(fault("loss", 0, 4, **half), fault("double", 0, 4, **half)))
+    assert plan.draw(storm) == plan.draw(storm) != plan.draw(replace(storm, seed=6))
+    one, two = Weather(storm), Weather(storm)
+    fates = [one.fate(0, 1, n) for n in range(200)]
+    assert fates == [two.fate(0, 1, n) for n in range(200)]
+    assert {len(f) for f in fates} == {0, 1, 2} and 70 < one.fates["loss"] < 130
+
+
+def test_a_cut_holds_one_way_and_between_its_times() -> None:
+    weather = Weather(replace(CALM, faults=(fault("cut", 1, 2, sender=0, receiver=1),)))
+    assert weather.fate(0, 1, SECOND) == [] and weather.fate(1, 0, SECOND) == [0]
+    assert weather.fate(0, 1, SECOND - 1) == weather.fate(0, 1, 2 * SECOND) == [0]
+    assert weather.fate(0, 2, SECOND) == [0]
+
+
+def test_the_busiest_head_moves_when_it_should() -> None:
+    moving = replace(CALM, load=replace(CALM.load, shift_us=SECOND, lead=1.0))
+    heads = {(r.volume, r.at_us // SECOND): r.head for r in plan.draw(moving)}
+    assert len({heads[plan.volume_name(1), second] for second in (0, 1)}) == 2
+
+
+# Checks: each finds what it is there for
+
+def answered(requests: list[plan.Request], outcome: str = "served") -> list[dict[str, Any]]:
+    lines: list[dict[str, Any]] = []
+    for r in requests:
+        lines.append({"t": r.at_us, "what": "ran", "id": r.id, "volume": r.volume})
+        lines.append({"t": r.at_us + 1, "what": "answer", "id": r.id, "outcome": outcome})
+    return lines
+
+
+def test_the_checks_find_what_is_broken_and_nothing_else() -> None:
+    slow = replace(CALM, load=replace(CALM.load, rate=30.0))
+    requests = plan.draw(slow)
+    sound = answered(requests)
+    assert checks.check(slow, requests, sound).sound
+    first = requests[0]
+
+    def found(*lines: dict[str, Any], without: int = 0) -> str:
+        return " ".join(checks.check(slow, requests, [*sound[without:], *lines]).broken)
+
+    assert "one answer" in found({"t": 9, "what": "answer", "id": first.id, "outcome": "served"})
+    assert "never noted" in found(without=2)
+    assert "no brick ran it" in found(without=1)
+    ran = {"t": 9, "what": "ran", "id": first.id, "volume": first.volume}
+    assert "ran 4 times" in found(*[ran] * 3)
+    assert "more behind" in found({"t": 9, "what": "extra", "id": first.id, "count": 1})
+    parts = [{"t": 9, "what": "parts", "who": f"n{n}", "until": 99, "parts": {plan.volume_name(0): 0.7}}
+             for n in (0, 1)]
+    assert "add up to 1.400" in found(*parts) and not found(parts[0])
+    assert not found(parts[0] | {"until": 9}, parts[1]), "that head looks again before it sends"
+    lost = answered(requests, "lost")
+    assert len(checks.check(slow, requests, lost).broken) >= len(requests)
+    killed = replace(slow, faults=tuple(fault("kill", 0, 4, who=n) for n in range(3)))
+    assert not [b for b in checks.check(killed, requests, lost).broken if "one answer" in b]
+
+
+def test_a_limit_that_is_passed_is_found() -> None:
+    requests = plan.draw(replace(CALM, load=replace(CALM.load, rate=200.0)))
+    findings = checks.check(CALM, requests, answered(requests))
+    assert findings.over > 20 and any(b.startswith("limits:") for b in findings.broken)
+
+
+def test_a_history_cut_short_is_read_and_a_damaged_one_is_an_error(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "n0.history"
+    path.write_bytes(b'{"t":2,"what":"b"}\n{"t":1,"what":"a"}\n{"t":3,"wh')
+    assert [line["what"] for line in history.read([path])] == ["a", "b"]
+    path.write_bytes(b'{"t":2,"what":"b"}\n{"t":\n{"t":3,"what":"c"}\n')
+    with pytest.raises(history.BadHistory, match="line 2"):
+        history.read([path])
+
+
+# Processes. Judged by counts and histories.
+
+def play(tmp_path: pathlib.Path, experiment: Experiment) -> Result:
+    result = run(experiment, tmp_path / "run")
+    assert result.findings.sound, result.findings.broken
+    assert result.findings.outcomes["served"] > 0
+    return result
+
+
+def believed(result: Result, head: int, volume: int = 0) -> list[tuple[float, float]]:
+    """The parts of a volume that a head has believed its own: seconds after the clients began, and which."""
+    name = plan.volume_name(volume)
+    return [((line["t"] - result.began) / SECOND, line["parts"][name]) for line in result.lines
+            if line["what"] == "parts" and line["who"] == f"n{head}" and name in line["parts"]]
+
+
+ONE_HEAD = Load(volumes=3, rate=90.0, lead=1.0)  # each volume's requests come through its first head alone
+
+
+def test_processes_leave_a_limit_to_the_head_that_is_asked(tmp_path: pathlib.Path) -> None:
+    result = play(tmp_path, replace(CALM, load=ONE_HEAD, length_us=5 * SECOND))
+    assert max(part for _, part in believed(result, 0)) > 0.9
+    assert result.findings.lives == {"n0": 1, "n1": 1, "n2": 1}
+    with pytest.raises(LabError, match="not empty"):
+        run(CALM, tmp_path / "run")
+
+
+def test_a_process_that_is_cut_off_keeps_to_its_even_part_and_comes_back(tmp_path: pathlib.Path) -> None:
+    cut = (fault("cut", 2, 4, sender=0), fault("cut", 2, 4, receiver=0))
+    result = play(tmp_path, replace(CALM, load=ONE_HEAD, length_us=7 * SECOND, faults=cut))
+    parts = believed(result, 0)
+    assert any(part == 0.5 and 2 < at < 4.5 for at, part in parts), "alone"
+    assert any(part > 0.9 and at > 4 for at, part in parts), "and heard again"
+
+
+def test_a_process_that_is_killed_comes_back_with_nothing_of_its_earlier_life(tmp_path: pathlib.Path) -> None:
+    kill = (fault("kill", 2, 2.5, who=0),)
+    result = play(tmp_path, replace(CALM, load=ONE_HEAD, length_us=7 * SECOND, faults=kill))
+    assert result.findings.lives["n0"] == 2
+    lives = [line["life"] for line in result.lines if line["what"] == "start" and line["who"] == "n0"]
+    assert lives == sorted(lives)
+    first = next(line for line in result.lines
+                 if line["what"] == "parts" and line["life"] == lives[1] and line["parts"])
+    assert set(first["parts"].values()) == {0.0}, "until what it may have left to others has ended"
+    assert any(part >= 0.5 for at, part in believed(result, 0) if at > 2.5)
+
+
+def test_a_process_that_stood_still_past_its_lease_sends_nothing_on_it(tmp_path: pathlib.Path) -> None:
+    stop = (fault("stop", 2, 4, who=0),)
+    load_both = replace(ONE_HEAD, lead=0.6)
+    result = play(tmp_path, replace(CALM, load=load_both, length_us=6 * SECOND, faults=stop))
+    after = [part for at, part in believed(result, 0) if at >= 4]
+    assert after and after[0] <= 0.5, "what others had left to it had gone back meanwhile"
+
+
+def test_lost_doubled_late_and_overtaken_messages_between_processes(tmp_path: pathlib.Path) -> None:
+    storm = tuple(fault(kind, 0, 5, share=0.3, span_us=60_000)
+                  for kind in ("loss", "double", "delay", "reorder"))
+    result = play(tmp_path, replace(CALM, length_us=5 * SECOND, faults=storm,
+                                    load=replace(ONE_HEAD, lead=0.5, shift_us=2 * SECOND)))
+    assert all(result.fates[kind] for kind in ("loss", "double", "delay", "reorder"))
+
+
+def test_a_brick_that_falls_silent_and_a_head_that_is_replaced_cost_no_answer(tmp_path: pathlib.Path) -> None:
+    both = (fault("silent", 1, 2.5, who=1), fault("term", 1.5, 2, who=2))
+    result = play(tmp_path, replace(CALM, length_us=5 * SECOND, faults=both))
+    assert result.findings.lives["n2"] == 2
+    late = result.began + 4 * SECOND
+    ran = {line["brick"] for line in result.lines if line["what"] == "ran" and line["t"] > late}
+    assert ran == {0, 1, 2}, "no healthy brick is shunned"
