End every process of a lab run on SIGTERM and SIGHUP too

A run of experiments that was ended by SIGHUP left its three heads running: Python's default action skips the finally that ends them. Both signals now raise inside the run, and are put back after it. Ctrl-C was sound. The new test fails without the change for SIGTERM and SIGHUP (the heads' pids are still there).

--- a/garnetlanding/lab/processes.py
+++ b/garnetlanding/lab/processes.py
@@ -29,6 +29,10 @@
             self._child = subprocess.Popen([sys.executable, "-m", *self._arguments], stdout=log, stderr=log,
                                            stdin=subprocess.DEVNULL, env=env)
 
+    @property
+    def id(self) -> int:
+        return self._child.pid if self._child else 0
+
     @property
     def code(self) -> int | None:
         """Its exit code; None while it runs."""
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
 import signal
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 
 from garnetlanding.lab import checks, heads, history, plan
@@ -106,6 +108,7 @@
             self._heads.append(Process(
                 ["garnetlanding", "serve", "--config", str(self._folder / f"n{me}.json"), "--operator",
                  str(self._folder / f"n{me}.toml")], self._folder / f"n{me}.log"))
+        (self._folder / "pids.json").write_text(json.dumps([head.id for head in self._heads]))
         waiting = set(range(e.heads))
         last = self._scheduler.now + READY_S * SECOND
         for me in range(e.heads):
@@ -180,12 +183,34 @@
         self._scheduler.close()
 
 
+class Interrupted(LabError):
+    """A signal asked the lab to end; all that it had started has been ended."""
+
+
+@contextlib.contextmanager
+def ended_by_signals() -> Iterator[None]:
+    """SIGTERM and SIGHUP end a run as Ctrl-C does: by default they would leave its processes behind."""
+    def end(number: int, _: object) -> None:
+        raise Interrupted(f"ended by {signal.Signals(number).name}")
+
+    if threading.current_thread() is not threading.main_thread():
+        yield  # signals are the main thread's
+        return
+    old = {number: signal.signal(number, end) for number in (signal.SIGTERM, signal.SIGHUP)}
+    try:
+        yield
+    finally:
+        for number, handler in old.items():
+            signal.signal(number, handler)
+
+
 def run(experiment: Experiment, folder: pathlib.Path,
         progress: Callable[[float], None] = lambda done: None) -> Result:
     """Raises LabError where it could not be carried through. The folder must be new or empty."""
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.iterdir()):
         raise LabError(f"{folder} is not empty: its histories would be mixed")
-    result = Lab(experiment, folder).run(progress)
+    with ended_by_signals():
+        result = Lab(experiment, folder).run(progress)
     (folder / "result.json").write_text(json.dumps(result.as_json(), indent=1) + "\n")
     return result
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
+import signal
 from dataclasses import replace
 from typing import Any
 
@@ -13,7 +15,7 @@
 from garnetlanding.config.section import ConfigError
 from garnetlanding.lab import checks, history, plan
 from garnetlanding.lab.experiment import SECOND, Experiment, Fault, Load, load, read
-from garnetlanding.lab.run import LabError, Result, run
+from garnetlanding.lab.run import Interrupted, LabError, Result, run
 from garnetlanding.lab.weather import Weather
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -163,6 +165,21 @@
         run(CALM, tmp_path / "run")
 
 
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_whatever_ends_the_lab_ends_every_process_that_it_started(how: signal.Signals,
+                                                                  tmp_path: pathlib.Path) -> None:
+    def interrupt(done: float) -> None:
+        os.kill(os.getpid(), how)
+
+    with pytest.raises(KeyboardInterrupt if how == signal.SIGINT else Interrupted):
+        run(replace(CALM, faults=(fault("stop", 0, 4, who=1),)), tmp_path / "run", interrupt)
+    pids = json.loads((tmp_path / "run/pids.json").read_text())
+    assert len(pids) == 3
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
 def test_a_process_that_is_cut_off_keeps_to_its_even_part_and_comes_back(tmp_path: pathlib.Path) -> None:
     cut = (fault("cut", 2, 4, sender=0), fault("cut", 2, 4, receiver=0))
     result = play(tmp_path, replace(CALM, load=ONE_HEAD, length_us=7 * SECOND, faults=cut))
