Test the end of a lab run by Ctrl-C also where the shell has it ignored

On a clean checkout started in the background SIGINT is ignored from the start, Python installs no handler, and the test's run went on to its end. The test now sets the handler that a terminal's run has, and puts it back.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -171,8 +171,13 @@
     def interrupt(done: float) -> None:
         os.kill(os.getpid(), how)
 
-    with pytest.raises(KeyboardInterrupt if how == signal.SIGINT else Interrupted):
-        run(replace(CALM, faults=(fault("stop", 0, 4, who=1),)), tmp_path / "run", interrupt)
+    # A shell that starts tests in the background has them ignore Ctrl-C, and Python then leaves it ignored.
+    old = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        with pytest.raises(KeyboardInterrupt if how == signal.SIGINT else Interrupted):
+            run(replace(CALM, faults=(fault("stop", 0, 4, who=1),)), tmp_path / "run", interrupt)
+    finally:
+        signal.signal(signal.SIGINT, old)
     pids = json.loads((tmp_path / "run/pids.json").read_text())
     assert len(pids) == 3
     for pid in pids:
