Tell a head its part again when the number of a volume's hosts changes

From 2 hosts to 3 it went on with a half, and three heads could together pass the limit by half of it until a lease changed. Each volume's part is now told once in any case. The new test fails without the change.

--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -212,7 +212,7 @@
         changed: dict[str, float] = {}
         for volume, own in list(self.own.items()):
             part = self.part(volume, now)
-            if part != self._parts.get(volume, 1 / own.hosts):
+            if part != self._parts.get(volume):
                 self._parts[volume] = changed[own.name] = part
             if not own.wants(now, self._limits) and part == 1 / own.hosts:
                 del self.own[volume]
@@ -242,7 +242,7 @@
 
     def believed(self) -> dict[str, float]:
         """The parts as the module has them; they hold until `look_at` at most."""
-        return {own.name: self._parts.get(volume, 1 / own.hosts) for volume, own in self.own.items()}
+        return {own.name: self._parts[volume] for volume, own in self.own.items()}
 
     # For operators
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -138,6 +138,16 @@
     assert group[1].part(TAG, at) == 0.5 and group[1].parts(at) == {"v": 0.5}
 
 
+def test_a_number_of_hosts_that_changes_changes_the_even_part_of_a_head_that_hears_nobody() -> None:
+    """It was taken for what the module had anyway, and the module went on with the part of before."""
+    one = Leases(LIMITS, 0, 3, 7, 0)
+    now = one.back_at
+    one.asked("v", 2, 40.0, 1, now)
+    assert one.parts(now) == {"v": 0.5}
+    one.asked("v", 3, 40.0, 1, now + 1)
+    assert one.parts(now + 1) == {"v": pytest.approx(1 / 3)}
+
+
 def test_a_stalled_heads_lease_has_ended_before_it_may_send_again() -> None:
     group = meet()
     now = lead(group, 0, 4)
