--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -97,11 +97,12 @@
 
 
 class Core:
-    def __init__(self, controller: Module, timers: Timers, limits: Limits) -> None:
-        self._controller, self._timers, self._limits = controller, timers, limits
-        self._settings = controller.s
+    def __init__(self, module: Module, timers: Timers, limits: Limits) -> None:
+        """`module`: what is fed the events, which may be put into something else later."""
+        self.module, self._timers, self._limits = module, timers, limits
+        self._settings = module.s
         self.directory = Directory()
-        self.figures = Figures(controller.s.classes)
+        self.figures = Figures(module.s.classes)
         self.subscriptions: Subscriptions | None = None
         self.observers: list[Observer] = []
         self.tell: Callable[[bytes, int], None] | None = None  # where heads may send each other messages
@@ -205,14 +206,6 @@
 
     # From other heads
 
-    @property
-    def module(self) -> Module:
-        return self._controller
-
-    def around(self, module: Module) -> None:
-        """Puts something around the module: it is fed what the module was, and does what the module did."""
-        self._controller = module
-
     def told(self, sender: int, payload: bytes) -> None:
         self._events.append(api.PeerMessage(sender, payload))
 
@@ -238,7 +231,7 @@
         while self._events:
             events, self._events = self._events, []
             try:
-                actions = self._controller.handle(self._timers.now, events)
+                actions = self.module.handle(self._timers.now, events)
             except Exception:
                 # The items concerned still get their final answer at their deadline.
                 log.exception("controller failed")
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -207,7 +207,7 @@
         if self.talk is None:
             believed = self.history.believed if self.history else None
             talk = self.talk = Talk(self.core.module, self.life, setup.limits, self._dropped, believed, False)
-            self.core.around(talk)
+            self.core.module = talk
         try:
             self.link = PeerLink(self.scheduler, setup, self.core.told, self._dropped)
         except OSError as problem:
--- a/garnetlanding/emulator/lease_net.py
+++ b/garnetlanding/emulator/lease_net.py
@@ -14,7 +14,7 @@
 
 from garnetlanding.peers import codec
 from garnetlanding.peers.leases import Leases, Own
-from garnetlanding.peers.setup import PeerLimits
+from garnetlanding.peers.limits import PeerLimits
 
 MS, SECOND = 1_000, 1_000_000
 VOLUME, LIMIT = "v", 40.0
@@ -150,7 +150,7 @@
         number = leases.sending(now)
         for who, (asks, grants) in leases.say(now).items():
             mail.append((who, codec.encode(codec.Message(
-                leases.life, number, *leases.answers(who), asks, grants))))
+                leases.life, number, *leases.last_heard(who), asks, grants))))
         return mail
 
     def _post(self, sender: int, receiver: int, data: bytes) -> None:
--- a/garnetlanding/lab/checks.py
+++ b/garnetlanding/lab/checks.py
@@ -5,9 +5,10 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from garnetlanding.lab.experiment import PROCESS_FAULTS, SECOND, Experiment
+from garnetlanding.lab.experiment import PROCESS_FAULTS, Experiment
 from garnetlanding.lab.heads import SETTINGS, above
 from garnetlanding.lab.history import Line
+from garnetlanding.lab.limits import LIMITS, SECOND
 from garnetlanding.lab.plan import Request, hosts_of
 
 ANSWERED = ("served", "refused", "failed")
@@ -19,7 +20,6 @@
 
     asked: int = 0
     outcomes: Counter[str] = field(default_factory=Counter)
-    by_head: dict[int, Counter[str]] = field(default_factory=dict)
     attempts: int = 0
     over: float = 0.0  # units that a volume's store fell below 0 by, at the worst moment
     used: float = 0.0  # of all that the volumes could have had, the part sent
@@ -34,16 +34,11 @@
 
 def excused(experiment: Experiment, request: Request) -> bool:
     """Whether its client may go without an answer: its head was killed or stood still meanwhile."""
-    begins, ends = request.at_us - SLACK_US, request.at_us + request.wait_us + SLACK_US
+    begins, ends = request.at_us - LIMITS.process_us, request.at_us + request.wait_us + LIMITS.process_us
     return any(f.kind in PROCESS_FAULTS and f.who == request.head and f.at_us < ends and begins < f.until_us
                for f in experiment.faults)
 
 
-PARTS_SLACK = 0.001  # histories round
-SEND_US = 100_000  # from a head's decision to its brick, on a loaded machine
-SLACK_US = 1_500_000  # a process takes that long to end or start at most, on a loaded machine
-
-
 def check(experiment: Experiment, plan: list[Request], lines: list[Line]) -> Findings:
     found = Findings(asked=len(plan))
     by_id = {request.id: request for request in plan}
@@ -67,7 +62,7 @@
                     found.parts_most = max(found.parts_most, _sum(experiment, parts, volume, line["t"]))
     _answers(experiment, by_id, answers, found)
     _attempts(experiment, lines, found)
-    if found.parts_most > 1 + PARTS_SLACK:
+    if found.parts_most > 1 + LIMITS.parts_slack:
         found.broken.append(f"parts: a volume's add up to {found.parts_most:.3f}")
     _limits(experiment, lines, found)
     return found
@@ -96,7 +91,7 @@
     could = experiment.load.volumes * (burst + rate * experiment.length_us / SECOND)
     found.used = sent.total() / could
     # What a head sends in one turn reaches its brick within this; two requests may change places on the way.
-    if found.over > units + rate * SEND_US / SECOND:
+    if found.over > units + rate * LIMITS.send_us / SECOND:
         found.broken.append(f"limits: a volume's store fell {found.over:.1f} units below 0")
 
 
@@ -114,7 +109,6 @@
         got = answers.get(name, [])
         outcome = got[0] if got else "never noted"
         found.outcomes[outcome] += 1
-        found.by_head.setdefault(request.head, Counter())[outcome] += 1
         if len(got) > 1:
             found.broken.append(f"one answer: {name} has {len(got)}")
         elif outcome not in ANSWERED and not excused(experiment, request):
@@ -131,12 +125,3 @@
             found.broken.append(f"attempts: {name} ran {times} times, {most} are allowed")
     for name in served - set(ran):
         found.broken.append(f"served: {name} was, and no brick ran it")
-
-
-def served_share(lines: list[Line], head: int, since: int, until: int) -> float:
-    """Of what was asked of a head in a span of the machine's clock, the part served; 1 for nothing asked."""
-    asked = {line["id"] for line in lines if line["what"] == "asked" and line["head"] == head
-             and since <= line["t"] < until}
-    served = sum(line["what"] == "answer" and line["outcome"] == "served" and line["id"] in asked
-                 for line in lines)
-    return served / len(asked) if asked else 1.0
--- a/garnetlanding/lab/clients.py
+++ b/garnetlanding/lab/clients.py
@@ -12,14 +12,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from garnetlanding.lab.limits import LIMITS
 from garnetlanding.limits import Limits
 from garnetlanding.resp import codec
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.scheduler import Expired, Scheduler
 from garnetlanding.runtime.stream import Stream
 
-LAST_US = 500_000  # an answer later than this after its time counts as none
-
 
 class Connection:
     """One connection to a head; its answers in the order in which they come."""
@@ -63,7 +62,7 @@
         asked = self.scheduler.now
         self._note("asked", request)
         try:
-            outcome = self._answer(request, asked + request["wait_us"] + LAST_US)
+            outcome = self._answer(request, asked + request["wait_us"] + LIMITS.answer_late_us)
         except (OSError, codec.ProtocolError) as problem:
             outcome = "lost" if isinstance(problem, OSError) else "spoilt"
         except Expired:
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -7,12 +7,11 @@
 from typing import Any
 
 from garnetlanding.config.section import ConfigError, Section
+from garnetlanding.lab.limits import LIMITS, SECOND
 
-SECOND = 1_000_000
 PROCESS_FAULTS = ("kill", "stop", "term")  # until: started again, gone on, started again
 LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder")  # of datagrams from head to head
 BRICK_FAULTS = ("silent",)
-MOST_HEADS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +89,7 @@
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
     top = Section(data, "", "name seed heads bricks length_s load settings fault")
-    heads = int(top.number("heads", 1, 3, MOST_HEADS))
+    heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
     given = Section(top.raw("load") or {}, "load", "volumes rate units hosts lead shift_s wait_s")
--- a/garnetlanding/lab/plan.py
+++ b/garnetlanding/lab/plan.py
@@ -5,7 +5,8 @@
 import random
 from dataclasses import dataclass
 
-from garnetlanding.lab.experiment import SECOND, Experiment
+from garnetlanding.lab.experiment import Experiment
+from garnetlanding.lab.limits import SECOND
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetlanding/lab/processes.py
+++ b/garnetlanding/lab/processes.py
@@ -8,7 +8,8 @@
 import subprocess
 import sys
 
-LAST_S = 5.0  # after SIGTERM, before SIGKILL
+from garnetlanding.lab.limits import LIMITS
+
 PACKAGE = pathlib.Path(__file__).parent.parent.parent
 
 
@@ -48,7 +49,7 @@
         if orderly and self._child.poll() is None:
             self._child.terminate()
             try:
-                self._child.wait(LAST_S)
+                self._child.wait(LIMITS.end_s)
             except subprocess.TimeoutExpired:
                 pass
         if self._child.poll() is None:
--- a/garnetlanding/lab/proxy.py
+++ b/garnetlanding/lab/proxy.py
@@ -8,11 +8,10 @@
 
 import socket
 
+from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.weather import Weather
 from garnetlanding.runtime.scheduler import READ, Scheduler
 
-DATAGRAM = 2048
-
 
 def datagrams(host: str) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -45,7 +44,7 @@
         while True:
             self._scheduler.wait(sock.fileno(), READ)
             try:
-                data, source = sock.recvfrom(DATAGRAM)
+                data, source = sock.recvfrom(LIMITS.datagram_bytes)
             except OSError:
                 continue
             if source != self._reach[sender]:
--- a/garnetlanding/lab/report.py
+++ b/garnetlanding/lab/report.py
@@ -15,13 +15,13 @@
 from rich.table import Table
 
 from garnetlanding.lab import experiment as files
+from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.run import LabError, Result
 from garnetlanding.lab.run import run as carry_out
 
 __all__ = ["LabError", "compare", "run"]
 COLUMNS = ("asked", "served", "refused", "failed", "lost", "none", "attempts", "over", "used", "parts_most",
            "sound")
-WIDTH = 110  # of a table that goes to no terminal
 
 
 def run(path: str, out: str | None, seed: int | None, as_json: bool) -> int:
@@ -43,10 +43,11 @@
 
 
 def _told(result: Result) -> None:
-    for what in result.findings.broken[:20]:
+    broken, most = result.findings.broken, LIMITS.broken_shown
+    for what in broken[:most]:
         print(f"broken: {what}")
-    if len(result.findings.broken) > 20:
-        print(f"broken: {len(result.findings.broken) - 20} more, see result.json")
+    if len(broken) > most:
+        print(f"broken: {len(broken) - most} more, see result.json")
     print(f"histories, logs and result: {result.folder}")
 
 
@@ -59,7 +60,7 @@
     table = Table("run", *COLUMNS)
     for name, told in results:
         table.add_row(name, *row(told))
-    Console(width=None if sys.stdout.isatty() else WIDTH).print(table)
+    Console(width=None if sys.stdout.isatty() else LIMITS.table_columns).print(table)
 
 
 def compare(folders: Sequence[str], as_json: bool) -> int:
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -12,8 +12,9 @@
 from dataclasses import asdict, dataclass
 
 from garnetlanding.lab import checks, heads, history, plan
-from garnetlanding.lab.experiment import SECOND, Experiment, Fault
+from garnetlanding.lab.experiment import Experiment, Fault
 from garnetlanding.lab.history import Line
+from garnetlanding.lab.limits import LIMITS, SECOND
 from garnetlanding.lab.processes import Process
 from garnetlanding.lab.proxy import Links
 from garnetlanding.lab.weather import Weather
@@ -21,10 +22,6 @@
 from garnetlanding.runtime.scheduler import Expired, Scheduler
 from garnetlanding.runtime.stream import Stream
 
-READY_S = 30  # for all heads to say that they can be used
-SETTLE_US = 1_500_000  # from there to the first request: heads have heard each other
-LAST_S = 10  # after the last request's time
-
 
 class LabError(Exception):
     """The experiment could not be carried through; its histories prove nothing."""
@@ -60,7 +57,7 @@
                                    self._note)
         self._weather = Weather(experiment)
         self._links = Links(self._scheduler, f"{self._net}.1", self._weather,
-                            [(self._at(i), 7946) for i in range(experiment.heads)])
+                            [(self._at(i), LIMITS.peer_port) for i in range(experiment.heads)])
         self._heads: list[Process] = []
         self._clients: Process | None = None
 
@@ -76,15 +73,15 @@
         e, requests = self._experiment, plan.draw(self._experiment)
         try:
             self._start_heads()
-            began = self._scheduler.now + SETTLE_US
+            began = self._scheduler.now + LIMITS.settle_us
             self._links.began = began
             for fault in e.faults:
                 self._plan_fault(fault, began)
             self._start_clients(requests, began)
-            last = began + e.length_us + e.load.wait_us + LAST_S * SECOND
+            last = began + e.length_us + e.load.wait_us + LIMITS.last_s * SECOND
             assert self._clients
             while self._clients.code is None:
-                self._scheduler.turn(50)
+                self._scheduler.turn(LIMITS.turn_ms)
                 progress(min(1.0, max(0, self._scheduler.now - began) / e.length_us))
                 if self._scheduler.now > last:
                     raise LabError("the clients did not come to an end")
@@ -100,8 +97,8 @@
         e = self._experiment
         for me in range(e.heads):
             config = heads.configuration(
-                e, me, f"{self._at(me)}:6379", self._world.discoveries[me].address, f"{self._at(me)}:7946",
-                self._links.peers(me))
+                e, me, f"{self._at(me)}:{LIMITS.port}", self._world.discoveries[me].address,
+                f"{self._at(me)}:{LIMITS.peer_port}", self._links.peers(me))
             (self._folder / f"n{me}.json").write_text(json.dumps(config, indent=1))
             (self._folder / f"n{me}.toml").write_text(
                 heads.operators_file(str(self._folder / f"n{me}.history")))
@@ -110,26 +107,27 @@
                  str(self._folder / f"n{me}.toml")], self._folder / f"n{me}.log"))
         (self._folder / "pids.json").write_text(json.dumps([head.id for head in self._heads]))
         waiting = set(range(e.heads))
-        last = self._scheduler.now + READY_S * SECOND
+        last = self._scheduler.now + LIMITS.ready_s * SECOND
         for me in range(e.heads):
             self._scheduler.spawn(lambda me=me: self._greet(me, waiting, last))  # type: ignore[misc]
         while waiting:
-            self._scheduler.turn(50)
+            self._scheduler.turn(LIMITS.turn_ms)
             for me, head in enumerate(self._heads):
                 if head.code is not None:
                     raise LabError(f"n{me} ended with code {head.code}: see n{me}.log")
             if self._scheduler.now > last:
-                raise LabError(f"n{min(waiting)} is not ready after {READY_S} s: see n{min(waiting)}.log")
+                late = f"n{min(waiting)}"
+                raise LabError(f"{late} is not ready after {LIMITS.ready_s} s: see {late}.log")
 
     def _greet(self, me: int, waiting: set[int], last: int) -> None:
         """Until the head has answered PING: a head is used once it has."""
         world, scheduler = self._world.bricks[0], self._scheduler
         while me in waiting and scheduler.now < last:
             try:
-                stream = Stream.connect(scheduler, f"{self._at(me)}:6379", world.pool, world.limits,
+                stream = Stream.connect(scheduler, f"{self._at(me)}:{LIMITS.port}", world.pool, world.limits,
                                         scheduler.now + SECOND)
             except (OSError, Expired):
-                scheduler.sleep(SECOND // 50)
+                scheduler.sleep(LIMITS.greet_us)
                 continue
             stream.write(b"PING\r\n")
             try:
@@ -141,7 +139,8 @@
                 stream.close()
 
     def _start_clients(self, requests: list[plan.Request], began: int) -> None:
-        told = {"heads": [f"{self._at(i)}:6379" for i in range(self._experiment.heads)], "begins": began,
+        at = [f"{self._at(i)}:{LIMITS.port}" for i in range(self._experiment.heads)]
+        told = {"heads": at, "begins": began,
                 "requests": [asdict(r) for r in requests]}
         (self._folder / "plan.json").write_text(json.dumps(told))
         files = [str(self._folder / "plan.json"), str(self._folder / "clients.history")]
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -6,8 +6,7 @@
 from collections import Counter
 
 from garnetlanding.lab.experiment import Experiment
-
-REORDER_US = 40_000  # one that is overtaken comes so much later, unless the fault says how much
+from garnetlanding.lab.limits import LIMITS
 
 
 class Weather:
@@ -34,7 +33,7 @@
                 case "double":
                     delays.append(delays[-1] + fault.span_us)
                 case "reorder":
-                    delays = [d + (fault.span_us or REORDER_US) for d in delays]
+                    delays = [d + (fault.span_us or LIMITS.reorder_us) for d in delays]
                 case _:
                     continue
             self.fates[fault.kind] += 1
--- a/garnetlanding/lab/world.py
+++ b/garnetlanding/lab/world.py
@@ -7,14 +7,12 @@
 
 from garnetlanding.emulator.brick import Brick, BrickConn
 from garnetlanding.emulator.discovery import Box, Discovery
+from garnetlanding.lab.limits import LIMITS
 from garnetlanding.limits import SECOND, Limits
 from garnetlanding.resp import codec as resp
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.scheduler import Scheduler
 
-UNITS_A_SECOND = 200.0  # of a brick
-BEAT_US = 2 * SECOND
-
 
 class LabBrick(Brick):
     """Serves in turn, at a rate; says back the piece's name, so that a client knows its own answer."""
@@ -34,7 +32,7 @@
         if self.silent:
             return
         units = float(pairs[b"units"])
-        self._free_at = max(self._free_at, self.scheduler.now) + int(units / UNITS_A_SECOND * SECOND)
+        self._free_at = max(self._free_at, self.scheduler.now) + int(units / LIMITS.brick_units_s * SECOND)
         answer = b"*3\r\n" + resp.bulk(words[1]) + b"$-1\r\n$-1\r\n"
         self.scheduler.call_at(self._free_at, lambda: None if conn.ended else conn.write(answer))
 
@@ -54,6 +52,6 @@
 
     def _beat(self) -> None:
         while True:
-            self._scheduler.sleep(BEAT_US)
+            self._scheduler.sleep(LIMITS.beat_us)
             for discovery in self.discoveries:
                 discovery.beat()
--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -12,7 +12,7 @@
 
 from garnetlanding.decision.state import Rate
 from garnetlanding.peers.codec import Message, tag
-from garnetlanding.peers.setup import PeerLimits
+from garnetlanding.peers.limits import PeerLimits
 
 
 def fill(supply: float, demands: list[float]) -> list[float]:
@@ -139,7 +139,7 @@
             del self._sent[next(iter(self._sent))]
         return self._number
 
-    def answers(self, who: int) -> tuple[int, int]:
+    def last_heard(self, who: int) -> tuple[int, int]:
         """Life and number of the last message heard from a head."""
         peer = self.peers.get(who)
         return (peer.life, peer.number) if peer else (0, 0)
--- a/garnetlanding/peers/setup.py
+++ b/garnetlanding/peers/setup.py
@@ -1,35 +1,11 @@
-"""The link between heads: its bounds, and the platform's keys that place it."""
+"""The platform's keys that place the link between heads."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
 from garnetlanding.config.section import ConfigError, Section
-
-MS, SECOND = 1_000, 1_000_000
-LONGEST = 256  # bytes of a datagram; the platform voids the run over a longer one
-
-
-@dataclass(frozen=True, slots=True)
-class PeerLimits:
-    """Times are microseconds, sizes bytes."""
-
-    datagram_bytes: int = LONGEST
-    say_every_us: int = 250 * MS  # a lead moves every 12 s at the soonest: late by a fiftieth of that
-    near: int = 4  # other heads that are told so often; with more of them, each is told more seldom
-    say_volumes: int = 120  # asked for at once, the busiest first
-    lease_us: int = 1100 * MS  # a grant holds for so long: four messages in a row may be lost
-    drift: float = 0.01  # of two clocks, the most in each second; real ones stay under a thousandth of that
-    stale_us: int = 1200 * MS  # a head's word is believed for so long; not under `lease_us`
-    known_us: int = 60 * SECOND  # that a volume comes through a head is remembered for so long
-    span_us: int = 2 * SECOND  # what a volume asks for is measured over this: some five requests
-    headroom: float = 1.25  # asked for, of what was used lately
-    steps: int = 250  # of a share, as it is told
-    remembered: int = 64  # own messages, whose answers may still come
-    volumes: int = 4096  # figures kept of one peer, so that a forged one can't grow without end
-    receive_turn: int = 64  # datagrams taken in one turn of the loop
-    count_every_us: int = 10 * SECOND  # between lines in the log on what was dropped
-    open_retry_us: int = SECOND  # between tries to have the address, while an older process has it
+from garnetlanding.peers.limits import PeerLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -10,11 +10,10 @@
 
 from garnetlanding.core.ports import Module
 from garnetlanding.decision import interface as api
+from garnetlanding.decision.control import NEVER
 from garnetlanding.peers import codec
 from garnetlanding.peers.leases import Leases
-from garnetlanding.peers.setup import PeerLimits
-
-NEVER = 1 << 62
+from garnetlanding.peers.limits import PeerLimits
 
 
 class Talk:
@@ -22,26 +21,26 @@
 
     def __init__(self, module: Module, life: int, limits: PeerLimits | None = None,
                  dropped: Counter[str] | None = None,
-                 believed: Callable[[dict[str, float], int], None] | None = None, alone: bool = True) -> None:
+                 believed: Callable[[dict[str, float], int], None] | None = None,
+                 speaks: bool = True) -> None:
         """`dropped` counts messages by cause; `believed` is told what the module has, and until when
-        at most. Not `alone`: another process of this head still speaks for it, and uses its parts."""
+        at most. Not `speaks`: another process of this head does so for it, and uses its parts."""
         self.module, self.limits, self.life = module, limits or PeerLimits(), life
         self.leases: Leases | None = None
         self.dropped: Counter[str] = Counter() if dropped is None else dropped
         self._believed = believed
-        self.heard = self.said = 0
         self._say_at = 0
-        self._alone = alone
+        self._speaks = speaks
 
     def take_over(self, now: int) -> None:
         """The head's other process speaks no more: this one does, as after a start."""
-        self._alone = True
+        self._speaks = True
         if self.leases:
             self.leases.stand_back(None, now)
 
     def retire(self, now: int) -> None:
         """Another process of this head takes over: no part of a limit is this one's from now on."""
-        self._alone = False
+        self._speaks = False
         if self.leases:
             self.leases.stand_back(NEVER, now)
 
@@ -61,7 +60,7 @@
         if leases is None or (leases.me, leases.heads) != (self.s.me, self.s.hosts):
             # Another fleet: as after a start, since what was given under the old numbers may still be in use.
             leases = self.leases = Leases(self.limits, self.s.me, self.s.hosts, self.life, now, leases)
-            if not self._alone:
+            if not self._speaks:
                 leases.stand_back(NEVER, now)
             # Heads that start together would all speak at once: each has its own turn in the first round.
             self._wake(told, now, self._every * (1 + self.s.me) // max(1, self.s.hosts))
@@ -76,7 +75,7 @@
             rest.append(event)
         if now >= self._say_at:
             self._wake(told, now, self._every)
-            if self.s.may_tell and self._alone:
+            if self.s.may_tell and self._speaks:
                 told += self._texts(leases, now)
         looks = now >= leases.look_at
         if parts := leases.parts(now):
@@ -103,8 +102,6 @@
             why = str(problem)
         if why:
             self.dropped[why] += 1
-        else:
-            self.heard += 1
 
     def _texts(self, leases: Leases, now: int) -> list[api.Action]:
         texts: list[api.Action] = []
@@ -113,7 +110,6 @@
             for i, page in enumerate(codec.pages(asks, grants, self.limits.datagram_bytes)):
                 if i == len(numbers):
                     numbers.append(leases.sending(now))
-                message = codec.Message(self.life, numbers[i], *leases.answers(who), *page)
+                message = codec.Message(self.life, numbers[i], *leases.last_heard(who), *page)
                 texts.append(api.Tell(codec.encode(message), who))
-        self.said += len(texts)
         return texts
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -135,7 +135,7 @@
         w.end(Outcome.SERVED, b"")
         w.run(3 * SECOND, SECOND)
     assert list(w.core.directory._entries) == list(w.core.directory._endpoint) == ["n30"]
-    module = w.core._controller
+    module = w.core.module
     assert list(module.entries) == ["n30"] and len(module.volumes) <= 21
     assert all(set(node.flows) <= set(module.volumes) for node in module.nodes.values())
 
@@ -170,7 +170,7 @@
         raise RuntimeError("tags ran backwards")
 
     w = CoreWorld()
-    monkeypatch.setattr(w.core._controller, "handle", broken)
+    monkeypatch.setattr(w.core.module, "handle", broken)
     w.ask("a", wait_us=100 * MS)
     w.run(110 * MS)
     assert w.answers == {"a": Failed("deadline passed")}
@@ -192,7 +192,7 @@
 ) -> None:
     w = CoreWorld()
     ticket = w.ask("a", wait_us=100 * MS)
-    monkeypatch.setattr(w.core._controller, "handle", lambda now, events: [])
+    monkeypatch.setattr(w.core.module, "handle", lambda now, events: [])
     w.run(110 * MS)
     assert [t.node for t in w.backend.stopped] == ["n0"] and ticket not in w.core._items
     assert w.core.starts[0].outcome is Outcome.TIMEOUT and isinstance(w.answers["a"], Failed)
@@ -214,8 +214,8 @@
 
 def test_an_attempt_may_have_a_time_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
     w = CoreWorld()
-    handle = w.core._controller.handle
-    monkeypatch.setattr(w.core._controller, "handle", lambda now, events: [
+    handle = w.core.module.handle
+    monkeypatch.setattr(w.core.module, "handle", lambda now, events: [
         replace(a, until_us=now + 50 * MS) if isinstance(a, api.Send) else a for a in handle(now, events)])
     w.ask("a", wait_us=300 * MS)
     w.run(50 * MS)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,8 @@
 from garnetlanding import cli
 from garnetlanding.config.section import ConfigError
 from garnetlanding.lab import checks, history, plan
-from garnetlanding.lab.experiment import SECOND, Experiment, Fault, Load, load, read
+from garnetlanding.lab.experiment import Experiment, Fault, Load, load, read
+from garnetlanding.lab.limits import SECOND
 from garnetlanding.lab.run import Interrupted, LabError, Result, run
 from garnetlanding.lab.weather import Weather
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,7 +14,7 @@
 from garnetlanding.peers import codec, leases
 from garnetlanding.peers.codec import BadMessage, Message
 from garnetlanding.peers.leases import Leases, fill
-from garnetlanding.peers.setup import PeerLimits
+from garnetlanding.peers.limits import PeerLimits
 
 LIMITS = PeerLimits()
 TAG = codec.tag("v")
@@ -98,7 +98,7 @@
         number = sender.sending(now)
         for who, page in sender.say(now).items():
             if sender.me not in silent and who not in silent:
-                group[who].heard(sender.me, Message(sender.life, number, *sender.answers(who), *page), now)
+                group[who].heard(sender.me, Message(sender.life, number, *sender.last_heard(who), *page), now)
 
 
 def lead(group: list[Leases], start: int, seconds: float, silent: tuple[int, ...] = ()) -> int:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -180,13 +180,13 @@
 
 def test_a_brick_put_back_is_cold_though_the_list_does_not_tell_of_its_restart(office: Office) -> None:
     told: list[api.NodeEntry] = []
-    handle = office.core._controller.handle
+    handle = office.core.module.handle
 
     def listen(now: int, events: list[api.Event]) -> list[api.Action]:
         told.extend(e for event in events if isinstance(event, api.NodeList) for e in event.entries)
         return handle(now, events)
 
-    office.core._controller.handle = listen  # type: ignore[method-assign]
+    office.core.module.handle = listen  # type: ignore[method-assign]
     office.call("/-/bricks/b0/disable")
     assert told[-1].state is api.NodeState.DRAINING
     office.run(SECOND)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,8 +21,9 @@
 from garnetlanding.ops import caller
 from garnetlanding.peers import codec
 from garnetlanding.peers.codec import Message
+from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.link import PeerLink
-from garnetlanding.peers.setup import PeerLimits, PeerSetup
+from garnetlanding.peers.setup import PeerSetup
 from garnetlanding.peers.talk import Talk
 from tests.helpers import MS, SECOND, T0, World, read_command, settings, up
 from tests.test_daemon import BASE, SETTINGS, Head
@@ -173,7 +174,7 @@
 
     @property
     def talk(self) -> Talk:
-        talk = self.daemon.core._controller
+        talk = self.daemon.core.module
         assert isinstance(talk, Talk)
         return talk
 
@@ -263,7 +264,7 @@
 def test_where_messages_are_forbidden_no_socket_is_opened_and_nothing_is_imported() -> None:
     h = TalkingHead(SETTINGS)
     assert h.daemon.config.peers is None and h.daemon.link is None
-    assert not isinstance(h.daemon.core._controller, Talk)
+    assert not isinstance(h.daemon.core.module, Talk)
     program = ("import json, sys; from garnetlanding import config; from garnetlanding.daemon import Daemon;"
                "Daemon(config.read(json.loads(sys.argv[1]))); "
                "print([m for m in sys.modules if m.startswith('garnetlanding.peers')])")
