Earn second copies only where answers get lost

Cause: COPY_EARNED for every arrival. A request names its node, the node serves in turn, so a copy behind an answer that is merely late never wins, and no cancel takes the work back. Change: an arrival earns at most lost_share, the learnt share of answers that get lost; a win still pays for two.

--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -38,7 +38,7 @@
 LATENCY_GAIN = 0.2  # weight of a new sample in a node's latency and error averages
 SILENCE_AIMS = 2.0  # unheard for so many tightest aims and not connecting: down; pauses are shorter
 OVERDUE_SHARE = 0.05  # of answers come later than a second copy leaves
-COPY_EARNED, COPY_WON, COPY_MOST = 0.01, 2.0, 3.0  # copies earned per arrival, per one that won; kept
+COPY_EARNED, COPY_WON, COPY_MOST = 0.01, 2.0, 3.0  # earned per arrival where answers get lost, per win; kept
 POOL_GAIN = 0.1  # relative step per answer of what all nodes teach together
 SICK_SHARE = 0.01  # prior for a sick node, against which lost answers explain a silence
 RETRY_AIMS = 0.1  # first pause before a resend, in aims of its class; doubles, with jitter
@@ -172,7 +172,7 @@
     def _on_arrival(self, e: api.Arrival) -> None:
         cls, plan = self.s.classes[e.cls], self.s.plans[e.plan]
         self.taken.add(self.now)
-        self.copies = min(COPY_MOST, self.copies + COPY_EARNED)
+        self.copies = min(COPY_MOST, self.copies + min(COPY_EARNED, self.lost_share))
         # A retry is judged by its first try: the longest time a client gave tells when that came.
         patience = self.patience[e.cls] = max(self.patience.get(e.cls, 0), e.until_us - self.now)
         volume = self.volumes.get(e.volume) or self._new_volume(e, plan)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from garnetlanding.decision import interface as api
 from tests.helpers import MS, READ, SECOND, Bench, settings, up
 
@@ -111,6 +113,21 @@
     assert all(len(b.sends(f"lost{i}")) <= 2 for i in range(8))
 
 
+@pytest.mark.parametrize("lost", [True, False])
+def test_copies_are_earned_where_answers_get_lost_and_not_where_they_are_merely_late(lost: bool) -> None:
+    """A node that serves in turn answers the first attempt first: a copy there is work for nothing."""
+    b = Bench(settings(), [up("n0", 0)])
+    for i in range(1000):
+        b.ask(f"r{i}", units=1)
+        b.run(280 * MS if i % 20 == 0 else 20 * MS)
+        if lost and len(b.sends(f"r{i}")) == 2:
+            b.end(f"r{i}", attempt=1, took=20 * MS)
+        else:
+            b.end(f"r{i}", took=280 * MS if i % 20 == 0 else 20 * MS)
+    copied = sum(len(b.sends(f"r{i}")) == 2 for i in range(1000))
+    assert copied > 5 if lost else copied <= 3, "three are there at first"
+
+
 def test_no_second_copy_where_the_settings_forbid_two_attempts_at_once() -> None:
     b = Bench(settings(parallel_attempts=False), [up("n0", 0)])
     b.ask("a")
