--- /dev/null
+++ b/benchmarks/verdicts.py
@@ -0,0 +1,55 @@
+"""What a fleet goes on sending to a server that falls silent, with heads that tell each other and without.
+
+    python -m benchmarks.verdicts [--seeds N]        writes benchmarks/results/verdicts.md
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+from collections.abc import Iterator
+
+from garnetlanding.emulator.verdict_net import Net, Run, until_left
+
+HEADS = (4, 8, 16, 32, 64)
+RESULTS = pathlib.Path(__file__).parent / "results" / "verdicts.md"
+
+
+def rows(seeds: int) -> Iterator[list[str]]:
+    for heads in HEADS:
+        cells: list[list[float]] = []
+        for told in (False, True):
+            sends, left, served, size, wrong = 0, 0, 0.0, 0, 0
+            for seed in range(1, seeds + 1):
+                net = Net(seed=seed, heads=heads, told=told)
+                seen = Run(net).run()
+                sends, left = sends + len(seen.sends), left + until_left(net, seen)
+                served, size = served + seen.served / seen.asked, size + seen.bytes
+                wrong += len(seen.doubts)
+            cells.append([sends / seeds, left / seeds / 1e6, served / seeds,
+                          size / seeds / heads / (net.length_us / 1e6), wrong])
+        without, told_ = cells
+        yield [str(heads), f"{without[0]:.0f}", f"{told_[0]:.0f}", f"{told_[0] / without[0]:.2f}",
+               f"{without[1]:.1f}", f"{told_[1]:.1f}", f"{told_[2] / without[2]:.4f}", f"{told_[3]:.0f}",
+               f"{told_[4]:.0f}"]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    seeds = parser.parse_args().seeds
+    names = ("heads", "sent to it, untold", "told", "ratio", "s until under a tenth, untold", "told",
+             "served, told / untold", "bytes a head a second", "healthy servers doubted")
+    lines = ["| " + " | ".join(names) + " |", "| --- " * len(names) + "|"]
+    lines += ["| " + " | ".join(row) + " |" for row in rows(seeds)]
+    RESULTS.write_text(f"""# Verdicts: a server falls silent for 8 s
+
+`python -m benchmarks.verdicts --seeds {seeds}`: simulated, 8 servers, 60 requests a second each,
+real decision modules. Means.
+
+""" + "\n".join(lines) + "\n")
+    print("\n".join(lines))
+
+
+if __name__ == "__main__":
+    main()
--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -133,6 +133,8 @@
 FLEET = {
     "fleet/limits": "Show who has which part of each limited volume, and until when.",
     "fleet/members": "Show the heads: which life of each was heard last, and how long ago.",
+    "fleet/verdicts": "Show what is believed of each server, from which heads, and how old it is.",
+    "fleet/bans": "Show the servers that an operator of any head has put out or back.",
 }
 
 
--- a/garnetlanding/config/operator.py
+++ b/garnetlanding/config/operator.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from garnetlanding.history.setup import HistorySetup
     from garnetlanding.ninep.setup import Ninep
+    from garnetlanding.peers.setup import FleetSetup
     from garnetlanding.telemetry.setup import Collector
 
 
@@ -23,11 +24,12 @@
     telemetry: Collector | None = None
     store: StoreSetup = StoreSetup()
     history: HistorySetup | None = None
+    fleet: FleetSetup | None = None
 
 
 def read_operator(data: object, settings: api.Settings, name: str) -> Operator:
     """Checks an operator's file; each subsystem reads its own section. Raises ConfigError."""
-    top = Section(data, "", "ninep telemetry store history")
+    top = Section(data, "", "ninep telemetry store history fleet")
     ninep, telemetry, store = None, None, StoreSetup(writer=name)
     if top.has("ninep"):
         from garnetlanding.ninep import setup as ninep_setup
@@ -46,4 +48,9 @@
         from garnetlanding.history import setup as history_setup
 
         history = history_setup.read(top.raw("history"))
-    return Operator(ninep, telemetry, store, history)
+    fleet = None
+    if top.has("fleet"):
+        from garnetlanding.peers import setup as peers_setup
+
+        fleet = peers_setup.read_fleet(top.raw("fleet"))
+    return Operator(ninep, telemetry, store, history, fleet)
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -33,6 +33,8 @@
     from garnetlanding.ninep.setup import Ninep
     from garnetlanding.ops.desk import Desk
     from garnetlanding.ops.lives import Lives
+    from garnetlanding.ops.shared import SharedBans
+    from garnetlanding.peers.fleet import Fleet
     from garnetlanding.peers.link import PeerLink
     from garnetlanding.peers.talk import Talk
     from garnetlanding.telemetry.exporter import Exporter
@@ -78,6 +80,7 @@
         self.history: History | None = None
         self._dropped: Counter[str] = Counter()  # messages of other heads, by cause
         self.talk: Talk | None = None
+        self.fleet: Fleet | None = None
         self._link_retry = False  # a try to open it is planned
         self.exporter: Exporter | None = None
         self.desk: Desk | None = None
@@ -101,6 +104,12 @@
             self.history = History(config.operator.history.file, config.name, self.life,
                                    lambda: self.scheduler.now)
             self.core.observers.append(self.history)
+        if config.operator.fleet and config.peers:
+            from garnetlanding.peers.fleet import Fleet
+
+            on = config.operator.fleet
+            self.fleet = Fleet(config.peers.limits, on.verdicts, on.bans,
+                               self.history.note if self.history else None)
         ids: set[bytes] = set()
         front = self._listen("RESP2", config.listen, limits.client_conns, lambda write: RespMachine(
             self.core, self.bricks, self.pool, limits, ids, write,
@@ -116,8 +125,24 @@
             self._replicate(config.operator.store)
         if config.operator.telemetry:
             self._start_telemetry()
+        if self.fleet and not config.ops:
+            self._hear_bans(self.fleet)
         self._place_link()
 
+    def _hear_bans(self, fleet: Fleet) -> None:
+        """Where no operator is heard: what other heads' operators said, for as long as this process lives."""
+        limits = self.config.peers.limits if self.config.peers else None
+        if limits is None:
+            return
+        self.scheduler.call_at(self.scheduler.now + limits.look_us, lambda: self._hear_bans(fleet))
+        if records := fleet.take():
+            from garnetlanding.peers.bans import Bans
+
+            bans = Bans(limits, fleet.bans.records.values())
+            bans.hear(records, time.time_ns() // 1_000_000)
+            fleet.keep(bans)
+            self.core.ban(bans.banned)
+
     def _listen(self, what: str, address: str, most: int, make: Callable[[Client], ClientMachine],
                 shared: bool = False) -> Listener:
         listener = Listener(self.scheduler, address, self.pool, self.limits, most, make, shared)
@@ -163,7 +188,8 @@
         desk = self.desk = Desk(
             self.scheduler, self.core, clients, StateFile(tempfile.gettempdir(), self.config.name), limits,
             lambda: self.watch.told or self.scheduler.now >= known_by, lambda: self._share(clients),
-            lambda what: self.talk.known(what, self.scheduler.now) if self.talk else None)
+            lambda what: self.talk.known(what, self.scheduler.now) if self.talk else None,
+            self._shared_bans())
         self._keep_to(clients, self.part)
         # Places and times of its own: operators are heard however many clients, or half calls, there are.
         own = replace(limits, new_us=limits.ops_new_us, idle_us=limits.ops_new_us,
@@ -172,6 +198,15 @@
                                  lambda write: CallMachine(desk, self.pool, limits, write))
         log.info("listening", extra={"kv": {"name": self.config.name, "for": "operators", "at": at.address}})
 
+    def _shared_bans(self) -> SharedBans | None:
+        on = self.config.operator.fleet
+        if not (self.fleet and self.config.peers and on and on.bans):
+            return None
+        from garnetlanding.ops.shared import SharedBans
+
+        return SharedBans(self.fleet, self.config.peers.limits, lambda: self.core.settings.me,
+                          lambda: time.time_ns() // 1_000_000)
+
     def _share(self, clients: Listener) -> None:
         """Looks what the head's other process leaves to this one, and makes room for a newer one."""
         from garnetlanding.ops.share import HALF
@@ -206,7 +241,8 @@
 
         if self.talk is None:
             believed = self.history.believed if self.history else None
-            talk = self.talk = Talk(self.core.module, self.life, setup.limits, self._dropped, believed, False)
+            talk = self.talk = Talk(self.core.module, self.life, setup.limits, self._dropped, believed,
+                                    False, self.fleet)
             self.core.module = talk
         try:
             self.link = PeerLink(self.scheduler, setup, self.core.told, self._dropped)
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -95,7 +95,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.NodeList: self._on_list, api.Arrival: self._on_arrival, api.Result: self._on_result,
             api.ClientLeft: self._on_left, api.StreamStarted: self._on_stream,
-            api.NewSettings: self._on_settings, api.Parts: self._on_parts,
+            api.NewSettings: self._on_settings, api.Parts: self._on_parts, api.Hearsay: self._on_hearsay,
         }
 
     def _follow(self, settings: api.Settings) -> None:
@@ -214,6 +214,10 @@
             self.volumes[name].part = part
             self.volumes[name].share(self.now, self.s)
 
+    def _on_hearsay(self, e: api.Hearsay) -> None:
+        for h in (node.health for node in self.nodes.values() if node.health):
+            h.doubted = e.doubted.get(h.entry.node, 0)
+
     def _on_left(self, e: api.ClientLeft) -> None:
         if (r := self.requests.get(e.request)) and not r.over:
             self._finish(r)
@@ -323,10 +327,11 @@
                 retag(node.flows[name], node.v, weight)
 
     def _depth(self, h: Health) -> float:
-        """Little's law on served completions; slow answers narrow it below the floor (a departure)."""
+        """Little's law on served completions; slow answers narrow it below the floor (a departure), others'
+        word to one: its answer, or its silence, is this host's own evidence."""
         little = h.served.total(self.now - RATE_SPAN) / RATE_SPAN * self.tightest
-        part = self.s.part
-        return max(1.0, h.narrow * min(DEPTH_CEILING * part, max(DEPTH_FLOOR * part, little)))
+        part, narrow = self.s.part, h.narrow if self.now >= h.doubted else 0.0
+        return max(1.0, narrow * min(DEPTH_CEILING * part, max(DEPTH_FLOOR * part, little)))
 
     def _next(self, node: Node, h: Health) -> Request | None:
         """The lowest start tag among those with tokens left that the wait there is not too long for."""
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -195,8 +195,16 @@
     parts: dict[str, float]
 
 
+@dataclass(slots=True, frozen=True)
+class Hearsay:
+    """The nodes that other hosts have seen in trouble and this one has not heard since, each until when that
+    may be believed. All of them: one that was named and is not any more is as good as its own answers."""
+
+    doubted: dict[str, int]
+
+
 Event = (NewSettings | NodeList | Arrival | StreamStarted | Result | ClientLeft | WokeUp | ProbeResult
-         | PeerMessage | Parts)
+         | PeerMessage | Parts | Hearsay)
 
 
 # Actions
--- a/garnetlanding/decision/state.py
+++ b/garnetlanding/decision/state.py
@@ -82,6 +82,7 @@
     errors: float = 0.0
     turned_away: int = 0  # requests in a row since it last served one
     unreached: int = 0  # connects that failed since it was last heard
+    doubted: int = 0  # until when other hosts' word makes this one careful
 
 
 @dataclass(slots=True, eq=False)
--- a/garnetlanding/lab/checks.py
+++ b/garnetlanding/lab/checks.py
@@ -5,11 +5,12 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from garnetlanding.lab.experiment import PROCESS_FAULTS, Experiment
+from garnetlanding.lab.experiment import BRICK_FAULTS, PROCESS_FAULTS, Experiment
 from garnetlanding.lab.heads import SETTINGS, above
 from garnetlanding.lab.history import Line
 from garnetlanding.lab.limits import LIMITS, SECOND
 from garnetlanding.lab.plan import Request, hosts_of
+from garnetlanding.peers.limits import PeerLimits
 
 ANSWERED = ("served", "refused", "failed")
 
@@ -25,6 +26,8 @@
     used: float = 0.0  # of all that the volumes could have had, the part sent
     parts_most: float = 0.0  # greatest sum of one volume's parts over its heads, at any time
     lives: dict[str, int] = field(default_factory=dict)  # how often each head started
+    doubts: int = 0  # times that a head was made careful with a server on others' word
+    doubts_unfounded: int = 0  # of them, of servers that no fault had struck
     broken: list[str] = field(default_factory=list)
 
     @property
@@ -65,9 +68,57 @@
     if found.parts_most > 1 + LIMITS.parts_slack:
         found.broken.append(f"parts: a volume's add up to {found.parts_most:.3f}")
     _limits(experiment, lines, found)
+    _words(experiment, lines, found)
+    _bans(experiment, lines, found)
     return found
 
 
+def _words(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """No head believes of a server what nobody has seen within the greatest age. One that lies has seen
+    nothing: its words are not in its history."""
+    word_us = PeerLimits().word_us
+    latest: dict[tuple[str, str], int] = {}  # by head and server: when it last saw what it tells
+    doubted: dict[str, set[str]] = defaultdict(set)
+    lying = any(f.kind == "lie" for f in experiment.faults)
+    struck = {f"b{f.who}" for f in experiment.faults if f.kind in BRICK_FAULTS}
+    for line in lines:
+        who = line["who"]
+        if line["what"] == "seen":
+            latest |= {(who, server): at for server, (_, at) in line["servers"].items()}
+        elif line["what"] == "start":
+            doubted.pop(who, None)
+        elif line["what"] == "doubted":
+            new = set(line["servers"]) - doubted[who]
+            doubted[who] = set(line["servers"])
+            found.doubts += len(new)
+            found.doubts_unfounded += len(new - struck)
+            for server, until in line["servers"].items():
+                seen = max((at for (by, of), at in latest.items() if of == server and by != who), default=0)
+                if until > seen + word_us and not lying:
+                    found.broken.append(f"words: {who} believes of {server} what nobody has seen in time")
+            if len(line["servers"]) > max(1, experiment.bricks // 3):
+                found.broken.append(f"words: {who} doubts {len(line['servers'])} servers at once")
+
+
+def _bans(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """At the end all heads that are heard have one table; a server is sent nothing once all have it out."""
+    if not experiment.fleet or not any(f.kind in ("disable", "enable") for f in experiment.faults):
+        return
+    out: dict[str, set[str]] = {f"n{head}": set() for head in range(experiment.heads)}
+    since: dict[str, int] = {}  # by server: since when all have had it out
+    for line in lines:
+        if line["what"] == "bans":
+            out[line["who"]] = set(line["out"])
+            all_out = set.intersection(*out.values())
+            since = {server: since.get(server, line["t"]) for server in all_out}
+        elif line["what"] == "ran":
+            name = f"b{line['brick']}"
+            if name in since and line["t"] > since[name] + LIMITS.send_us:
+                found.broken.append(f"bans: {line['id']} ran at {name}, which all heads had out")
+    if len({frozenset(servers) for servers in out.values()}) > 1:
+        found.broken.append(f"bans: heads differ at the end: {({w: sorted(s) for w, s in out.items()})}")
+
+
 def _limits(experiment: Experiment, lines: list[Line], found: Findings) -> None:
     """Each volume's store, replayed over all heads: full at first, it fills at the limit's rate, and the
     first send of each request takes its units out."""
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -11,7 +11,9 @@
 
 PROCESS_FAULTS = ("kill", "stop", "term")  # until: started again, gone on, started again
 LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder")  # of datagrams from head to head
-BRICK_FAULTS = ("silent",)
+BRICK_FAULTS = ("silent", "down")  # takes work and answers nothing; refuses connections
+CALLS = ("disable", "enable", "drain", "resume")  # of an operator at one head, at one time
+LIES = ("lie",)  # one head's words: that every brick is dead
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +24,7 @@
     at_us: int
     until_us: int
     who: int = -1  # of a process or a brick
+    brick: int = -1  # of an operator's call
     sender: int = -1  # of a link; -1: every head
     receiver: int = -1
     share: float = 1.0  # of the datagrams that it strikes
@@ -55,6 +58,7 @@
     load: Load
     settings: dict[str, Any] = field(default_factory=dict)  # above those of lab/heads.py, key by key
     faults: tuple[Fault, ...] = ()
+    fleet: bool = True  # heads tell each other of servers and of bans
 
 
 def _head(section: Section, key: str, heads: int) -> int:
@@ -68,27 +72,31 @@
 
 
 def _fault(section: Section, heads: int, bricks: int, length_us: int) -> Fault:
-    kind = section.one_of("kind", PROCESS_FAULTS + LINK_FAULTS + BRICK_FAULTS)
+    kind = section.one_of("kind", PROCESS_FAULTS + LINK_FAULTS + BRICK_FAULTS + CALLS + LIES)
     at_us = int(section.number("at_s", 0, most=length_us / SECOND) * SECOND)
     until_us = int(section.number("until_s", 0, length_us / SECOND) * SECOND)
+    if kind in CALLS and section.has("until_s"):
+        raise ConfigError(f"key {section.name('until_s')}: a call has one time, at_s")
     if until_us <= at_us:
         raise ConfigError(f"key {section.name('until_s')}: not after at_s")
-    who = sender = receiver = -1
-    if kind in PROCESS_FAULTS:
+    who = sender = receiver = brick = -1
+    if kind in PROCESS_FAULTS + CALLS + LIES:
         who = _head(section, "who", heads)
         if who < 0:
             raise ConfigError(f"key {section.name('who')}: which head?")
+        if kind in ("disable", "enable"):
+            brick = int(section.number("brick", 0, most=bricks - 1))
     elif kind in BRICK_FAULTS:
         who = int(section.number("brick", 0, most=bricks - 1))
     else:
         sender, receiver = _head(section, "from", heads), _head(section, "to", heads)
-    return Fault(kind, at_us, until_us, who, sender, receiver, section.number("share", 0, 1.0, 1.0),
+    return Fault(kind, at_us, until_us, who, brick, sender, receiver, section.number("share", 0, 1.0, 1.0),
                  int(section.number("span_ms", 0, 0, 60_000) * 1000))
 
 
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
-    top = Section(data, "", "name seed heads bricks length_s load settings fault")
+    top = Section(data, "", "name seed heads bricks length_s load settings fault fleet")
     heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
@@ -105,8 +113,11 @@
     faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
                    for i, one in enumerate(listed))
     settings = Section(top.raw("settings") or {}, "settings").data
+    fleet = top.raw("fleet") if top.has("fleet") else True
+    if not isinstance(fleet, bool):
+        raise ConfigError("key fleet: expected true or false")
     return Experiment(top.text("name"), int(top.number("seed", 0, 1)), heads, bricks, length_us, load,
-                      settings, faults)
+                      settings, faults, fleet)
 
 
 def load(path: str) -> Experiment:
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -26,16 +26,17 @@
                    else value for key, value in more.items()}
 
 
-def configuration(experiment: Experiment, me: int, listen: str, discovery: str, peer_listen: str,
+def configuration(experiment: Experiment, me: int, listen: str, ops: str, discovery: str, peer_listen: str,
                   peers: list[str]) -> dict[str, Any]:
     settings = above(SETTINGS, experiment.settings) | {"Balancers": experiment.heads, "Me": me}
     return {
-        "name": f"n{me}", "listen": listen, "discovery": discovery, "seed": f"{experiment.seed + me:x}",
+        "name": f"n{me}", "listen": listen, "ops": ops, "discovery": discovery,
+        "seed": f"{experiment.seed + me:x}",
         "peer_listen": peer_listen, "peers": peers,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 0, "reset": True, "instances": []}, "settings": settings,
     }
 
 
-def operators_file(history: str) -> str:
-    return f"[history]\nfile = {json.dumps(history)}\n"
+def operators_file(history: str, fleet: bool) -> str:
+    return f"[history]\nfile = {json.dumps(history)}\n" + ("[fleet]\n" if fleet else "")
--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -14,6 +14,8 @@
     heads: int = 32  # of an experiment at most
     port: int = 6379  # of a head for clients
     peer_port: int = 7946  # of a head for other heads
+    ops_port: int = 7380  # of a head for operators
+    call_s: int = 2  # that an operator's call may take
     datagram_bytes: int = 2048  # read of one at most; a longer one goes on cut short
     ready_s: int = 30  # for all heads to say that they can be used
     settle_us: int = 1500 * MS  # from there to the first request: heads have heard each other
@@ -23,11 +25,13 @@
     greet_us: int = 20 * MS  # between tries to connect to a head that starts
     answer_late_us: int = 500 * MS  # an answer later than this after its time counts as none
     reorder_us: int = 40 * MS  # one that is overtaken comes so much later, unless the fault says how much
+    brick_conns: int = 256  # that a brick takes
     brick_units_s: float = 200.0  # that a brick does in a second
     beat_us: int = 2 * SECOND  # between discovery's empty lines
     send_us: int = 100 * MS  # from a head's decision to its brick, on a loaded machine
     process_us: int = 1500 * MS  # that a process takes to end or start at most, on a loaded machine
     parts_slack: float = 0.001  # of a sum of parts: histories round
+    line_shown: int = 200  # characters of a log's line
     broken_shown: int = 20  # rules broken, on the screen; all are in the result
     table_columns: int = 110  # of a table that goes to no terminal
 
--- a/garnetlanding/lab/processes.py
+++ b/garnetlanding/lab/processes.py
@@ -17,6 +17,7 @@
     """One process; its output goes to a file, to which a restart adds."""
 
     def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        """Beside the log, `tmp` is the folder in which it keeps what outlasts a process."""
         self._arguments, self._log = arguments, log
         self._child: subprocess.Popen[bytes] | None = None
         self.start()
@@ -26,6 +27,7 @@
         # Only what the program itself needs: an address in the environment would stand above the file's.
         env = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         env["PYTHONPATH"] = str(PACKAGE)
+        env["TMPDIR"] = str(self._log.parent / "tmp")
         with open(self._log, "ab") as log:
             self._child = subprocess.Popen([sys.executable, "-m", *self._arguments], stdout=log, stderr=log,
                                            stdin=subprocess.DEVNULL, env=env)
--- a/garnetlanding/lab/proxy.py
+++ b/garnetlanding/lab/proxy.py
@@ -8,6 +8,7 @@
 
 import socket
 
+from garnetlanding.lab.lies import lie
 from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.weather import Weather
 from garnetlanding.runtime.scheduler import READ, Scheduler
@@ -22,8 +23,9 @@
 
 class Links:
     def __init__(self, scheduler: Scheduler, host: str, weather: Weather,
-                 reach: list[tuple[str, int]]) -> None:
-        """`reach`: where each head hears others."""
+                 reach: list[tuple[str, int]], bricks: list[str]) -> None:
+        """`reach`: where each head hears others; `bricks`: the names that a lie is about."""
+        self._bricks = bricks
         self._scheduler, self._weather, self._reach = scheduler, weather, reach
         self.began: int | None = None  # when the clients did; before, the weather is fair
         heads = range(len(reach))
@@ -50,6 +52,8 @@
             if source != self._reach[sender]:
                 continue
             now = -1 if self.began is None else self._scheduler.now - self.began
+            if self._weather.lies(sender, now):
+                data = lie(data, self._bricks)
             for delay in self._weather.fate(sender, receiver, now):
                 self._scheduler.call_at(self._scheduler.now + delay,
                                         lambda data=data: self._pass(back, data, receiver))  # type: ignore[misc]
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -12,13 +12,14 @@
 from dataclasses import asdict, dataclass
 
 from garnetlanding.lab import checks, heads, history, plan
-from garnetlanding.lab.experiment import Experiment, Fault
+from garnetlanding.lab.experiment import CALLS, PROCESS_FAULTS, Experiment, Fault
 from garnetlanding.lab.history import Line
 from garnetlanding.lab.limits import LIMITS, SECOND
 from garnetlanding.lab.processes import Process
 from garnetlanding.lab.proxy import Links
 from garnetlanding.lab.weather import Weather
 from garnetlanding.lab.world import Surroundings
+from garnetlanding.ops.caller import path_of
 from garnetlanding.runtime.scheduler import Expired, Scheduler
 from garnetlanding.runtime.stream import Stream
 
@@ -42,6 +43,7 @@
                 "asked": f.asked, "outcomes": dict(f.outcomes), "attempts": f.attempts,
                 "over": round(f.over, 2), "used": round(f.used, 3),
                 "parts_most": round(f.parts_most, 3), "lives": f.lives,
+                "doubts": f.doubts, "doubts_unfounded": f.doubts_unfounded,
                 "datagrams": self.fates, "broken": f.broken}
 
 
@@ -57,7 +59,8 @@
                                    self._note)
         self._weather = Weather(experiment)
         self._links = Links(self._scheduler, f"{self._net}.1", self._weather,
-                            [(self._at(i), LIMITS.peer_port) for i in range(experiment.heads)])
+                            [(self._at(i), LIMITS.peer_port) for i in range(experiment.heads)],
+                            [f"b{brick.number}" for brick in self._world.bricks])
         self._heads: list[Process] = []
         self._clients: Process | None = None
 
@@ -91,17 +94,23 @@
             self._end()
         lines = history.read(sorted(self._folder.glob("*.history")))
         findings = checks.check(e, requests, lines)
+        for log in sorted(self._folder.glob("n*.log")):
+            # What a head catches costs it what it was at, and shows in no history.
+            findings.broken += [f"defect: {log.name}: {line[:LIMITS.line_shown]}"
+                                for line in log.read_text(errors="replace").splitlines() if "trace=" in line]
         return Result(e, findings, lines, began, dict(self._weather.fates), self._folder)
 
     def _start_heads(self) -> None:
         e = self._experiment
+        (self._folder / "tmp").mkdir()
         for me in range(e.heads):
             config = heads.configuration(
-                e, me, f"{self._at(me)}:{LIMITS.port}", self._world.discoveries[me].address,
+                e, me, f"{self._at(me)}:{LIMITS.port}", f"{self._at(me)}:{LIMITS.ops_port}",
+                self._world.discoveries[me].address,
                 f"{self._at(me)}:{LIMITS.peer_port}", self._links.peers(me))
             (self._folder / f"n{me}.json").write_text(json.dumps(config, indent=1))
             (self._folder / f"n{me}.toml").write_text(
-                heads.operators_file(str(self._folder / f"n{me}.history")))
+                heads.operators_file(str(self._folder / f"n{me}.history"), e.fleet))
             self._heads.append(Process(
                 ["garnetlanding", "serve", "--config", str(self._folder / f"n{me}.json"), "--operator",
                  str(self._folder / f"n{me}.toml")], self._folder / f"n{me}.log"))
@@ -157,7 +166,13 @@
             brick = self._world.bricks[fault.who]
             at(fault.at_us, "silent", lambda: setattr(brick, "silent", True))
             at(fault.until_us, "heard", lambda: setattr(brick, "silent", False))
-        elif fault.who >= 0:
+        elif fault.kind == "down":
+            brick = self._world.bricks[fault.who]
+            at(fault.at_us, "down", brick.fall)
+            at(fault.until_us, "up", brick.rise)
+        elif fault.kind in CALLS:
+            at(fault.at_us, fault.kind, lambda: self._call_soon(fault))
+        elif fault.kind in PROCESS_FAULTS:
             head = self._heads[fault.who]
             begin = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "term": signal.SIGTERM}[fault.kind]
             at(fault.at_us, fault.kind, lambda: head.signal(begin))
@@ -166,6 +181,28 @@
             else:
                 at(fault.until_us, "start", head.start)
 
+    def _call_soon(self, fault: Fault) -> None:
+        self._scheduler.spawn(lambda: self._call(fault))
+
+    def _call(self, fault: Fault) -> None:
+        """An operator's call at one head; what it answered is noted, or that it did not."""
+        world, scheduler = self._world.bricks[0], self._scheduler
+        method, path = path_of(fault.kind, f"b{fault.brick}" if fault.brick >= 0 else "")
+        answer = bytearray()
+        try:
+            until = scheduler.now + LIMITS.call_s * SECOND
+            stream = Stream.connect(scheduler, f"{self._at(fault.who)}:{LIMITS.ops_port}", world.pool,
+                                    world.limits, until)
+            stream.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\n\r\n".encode())
+            while stream.read(answer.extend, until):
+                pass
+            stream.close()
+        except (OSError, Expired):
+            pass
+        status = answer.split(b" ")[1:2]
+        self._note("called", kind=fault.kind, which=fault.who, brick=fault.brick,
+                   status=int(status[0]) if status else 0)
+
     def _end(self) -> None:
         """Every process by its own id, also after a failure: one that stands still has to go on to end."""
         for process in [self._clients, *self._heads]:
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 
-from garnetlanding.lab.experiment import Experiment
+from garnetlanding.lab.experiment import LINK_FAULTS, Experiment
 from garnetlanding.lab.limits import LIMITS
 
 
@@ -14,14 +14,21 @@
 
     def __init__(self, experiment: Experiment) -> None:
         self._faults = experiment.faults
+        self._links = [fault for fault in self._faults if fault.kind in LINK_FAULTS]
         self._draws = {(a, b): random.Random(f"{experiment.seed} {a} {b}")
                        for a in range(experiment.heads) for b in range(experiment.heads)}
         self.fates: Counter[str] = Counter()
 
+    def lies(self, sender: int, now: int) -> bool:
+        """Whether that head's words are false at that time."""
+        false = any(f.kind == "lie" and f.who == sender and f.at_us <= now < f.until_us for f in self._faults)
+        self.fates["lie"] += false
+        return false
+
     def fate(self, sender: int, receiver: int, now: int) -> list[int]:
         """After how many microseconds it arrives, once for each copy; empty: never."""
         draw, delays = self._draws[sender, receiver], [0]
-        for fault in self._faults:
+        for fault in self._links:
             if not fault.strikes(sender, receiver, now) or draw.random() >= fault.share:
                 continue
             match fault.kind:
@@ -34,8 +41,6 @@
                     delays.append(delays[-1] + fault.span_us)
                 case "reorder":
                     delays = [d + (fault.span_us or LIMITS.reorder_us) for d in delays]
-                case _:
-                    continue
             self.fates[fault.kind] += 1
         self.fates["arrived"] += 1
         return delays
--- a/garnetlanding/lab/world.py
+++ b/garnetlanding/lab/world.py
@@ -11,6 +11,7 @@
 from garnetlanding.limits import SECOND, Limits
 from garnetlanding.resp import codec as resp
 from garnetlanding.runtime.buffers import BufferPool
+from garnetlanding.runtime.listener import Listener
 from garnetlanding.runtime.scheduler import Scheduler
 
 
@@ -37,6 +38,16 @@
         self.scheduler.call_at(self._free_at, lambda: None if conn.ended else conn.write(answer))
 
 
+    def fall(self) -> None:
+        """Refuses connections from now on; the list goes on naming it."""
+        self.listener.stop_accepting()
+        self.drop()
+
+    def rise(self) -> None:
+        self.listener = Listener(self.scheduler, self.address, self.pool, self.limits, LIMITS.brick_conns,
+                                 self._make)
+
+
 class Surroundings:
     def __init__(self, scheduler: Scheduler, host: str, heads: int, bricks: int,
                  note: Callable[..., None]) -> None:
--- a/garnetlanding/ops/desk.py
+++ b/garnetlanding/ops/desk.py
@@ -5,6 +5,7 @@
 import json
 import logging
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from garnetlanding.core.core import Core
 from garnetlanding.limits import Limits
@@ -13,6 +14,9 @@
 from garnetlanding.runtime.listener import Listener
 from garnetlanding.runtime.scheduler import Scheduler
 
+if TYPE_CHECKING:  # what is off is not imported
+    from garnetlanding.ops.shared import SharedBans
+
 log = logging.getLogger(__name__)
 
 
@@ -21,12 +25,14 @@
 
     def __init__(self, scheduler: Scheduler, core: Core, clients: Listener, file: StateFile, limits: Limits,
                  told: Callable[[], bool], share: Callable[[], None] = lambda: None,
-                 fleet: Callable[[str], list[dict[str, object]] | None] = lambda what: None) -> None:
+                 fleet: Callable[[str], list[dict[str, object]] | None] = lambda what: None,
+                 shared: SharedBans | None = None) -> None:
         """`told` says whether the list of servers is known; `share` looks what the head's other process
-        leaves to this one; `fleet` tells of the other heads, None where they aren't heard."""
+        leaves to this one; `fleet` tells of the other heads, None where they aren't heard; `shared` makes
+        bans the whole fleet's."""
         self._scheduler, self._core, self._clients = scheduler, core, clients
         self._file, self._limits, self._told, self._share = file, limits, told, share
-        self._fleet = fleet
+        self._fleet, self._shared = fleet, shared
         self._state = OpsState()
         self._drained_at: int | None = None
         self._take_up(file.load())
@@ -44,15 +50,17 @@
         return self._core.metrics()
 
     def disable(self, brick: str) -> bool:
-        known = self._core.directory.knows(brick)
-        if known:
-            self._change("disabled", lambda state: state.ban(brick), brick)
-        return known
+        return self._put("disabled", brick, True)
 
     def enable(self, brick: str) -> bool:
-        known = self._core.directory.knows(brick)
-        if known:
-            self._change("enabled", lambda state: state.lift(brick), brick)
+        return self._put("enabled", brick, False)
+
+    def _put(self, what: str, brick: str, out: bool) -> bool:
+        shared, known = self._shared, self._core.directory.knows(brick)
+        if known and shared:
+            self._change(what, lambda state: shared.say(state, brick, out), brick)
+        elif known:
+            self._change(what, lambda state: state.ban(brick) if out else state.lift(brick), brick)
         return known
 
     def drain(self) -> None:
@@ -76,6 +84,9 @@
         self._share()
         if (state := self._file.news()) is not None:
             self._take_up(state)
+        shared = self._shared
+        if shared and (records := shared.take()):
+            self._take_up(self._file.change(lambda state: shared.hear(state, records)))
         if self._drained_at is not None and (
                 self._scheduler.now >= self._drained_at + self._limits.drain_serve_us):
             self._clients.close_idle()
@@ -84,6 +95,8 @@
         old, self._state = self._state, state
         if state.banned != old.banned:
             self._core.ban(state.banned)
+        if self._shared:
+            self._shared.tell(state)
         if state.draining and self._drained_at is None:
             self._drained_at = self._scheduler.now
         elif not state.draining and self._drained_at is not None:
--- a/garnetlanding/ops/front.py
+++ b/garnetlanding/ops/front.py
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 BRICK = re.compile(r"/-/bricks/([^/]+)/(disable|enable)")
-FLEET = {"/-/fleet/limits": "limits", "/-/fleet/members": "members"}
+FLEET = {f"/-/fleet/{what}": what for what in ("limits", "members", "verdicts", "bans")}
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
            500: "Internal Server Error", 503: "Service Unavailable"}
--- /dev/null
+++ b/garnetlanding/ops/shared.py
@@ -0,0 +1,58 @@
+"""An operator's bans made the whole fleet's: what is said here goes into the table that heads share, and what
+others said comes into this head's state, on disk as its own.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from garnetlanding.http.head import HttpError
+from garnetlanding.ops.state import OpsState
+from garnetlanding.peers.bans import BanError, Bans, Record
+from garnetlanding.peers.fleet import Fleet
+from garnetlanding.peers.limits import PeerLimits
+
+log = logging.getLogger(__name__)
+
+
+class SharedBans:
+    def __init__(self, fleet: Fleet, limits: PeerLimits, me: Callable[[], int],
+                 wall_ms: Callable[[], int]) -> None:
+        """`me`: this head's number."""
+        self._fleet, self._limits, self._me, self._wall_ms = fleet, limits, me, wall_ms
+
+    def take(self) -> list[Record]:
+        return self._fleet.take()
+
+    def say(self, state: OpsState, brick: str, out: bool) -> OpsState:
+        bans = self.table(state)
+        try:
+            bans.say(brick, out, self._me(), self._wall_ms())
+        except BanError as problem:
+            raise HttpError(str(problem), 400) from None
+        return self._kept(state, bans)
+
+    def hear(self, state: OpsState, records: list[Record]) -> OpsState:
+        bans = self.table(state)
+        news, bad = bans.hear(records, self._wall_ms())
+        if news or bad:
+            log.info("bans heard", extra={"kv": {"count": len(news), "dropped": bad}})
+        return self._kept(state, bans)
+
+    def tell(self, state: OpsState) -> None:
+        """From now on other heads are told of this."""
+        self._fleet.keep(self.table(state))
+
+    def table(self, state: OpsState) -> Bans:
+        """The records of a state. What was said while bans were this head's alone, or by an older process,
+        has none yet: it counts as said by it just now."""
+        bans = Bans(self._limits, (Record(*record) for record in state.records))
+        for brick in sorted(state.banned ^ bans.banned):
+            bans.say(brick, brick in state.banned, self._me(), self._wall_ms())
+        return bans
+
+    @staticmethod
+    def _kept(state: OpsState, bans: Bans) -> OpsState:
+        return replace(state, banned=bans.banned, records=tuple(sorted(bans.records.values())))
--- a/garnetlanding/ops/state.py
+++ b/garnetlanding/ops/state.py
@@ -25,10 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OpsState:
-    """`banned` holds instance ids; a ban ends by a call and by nothing else."""
+    """`banned` holds instance ids; a ban ends by a call and by nothing else. Where bans are the whole
+    fleet's, `records` has the last word on each server: its name, version, the head's number, whether out."""
 
     banned: frozenset[str] = frozenset()
     draining: bool = False
+    records: tuple[tuple[str, int, int, bool], ...] = ()
 
     def ban(self, brick: str) -> OpsState:
         return replace(self, banned=self.banned | {brick})
@@ -42,8 +44,10 @@
 
 def encode(name: str, state: OpsState) -> bytes:
     """One JSON object and, on a line of its own, the CRC-32 of that line."""
+    # An older process of the head reads what it knows of, and keeps the rest out.
+    more = {"records": state.records} if state.records else {}
     body = json.dumps({"version": VERSION, "name": name, "banned": sorted(state.banned),
-                       "draining": state.draining}).encode()
+                       "draining": state.draining, **more}).encode()
     return b"%s\n%08x\n" % (body, zlib.crc32(body))
 
 
@@ -52,12 +56,20 @@
     lines = data.split(b"\n")
     if len(lines) != 3 or lines[2] or lines[1] != b"%08x" % zlib.crc32(lines[0]):
         raise StateError("damaged: its checksum does not hold")
-    match json.loads(lines[0]):
+    match found := json.loads(lines[0]):
         case {"version": int() as version} if version != VERSION:
             raise StateError(f"of version {version}, this program writes {VERSION}")
         case {"name": str() as other} if other != name:
             raise StateError(f"of head {other!r:.40}, this one is {name!r:.40}")
         case {"banned": list() as banned, "draining": bool() as draining}:
+            records = [_record(one) for one in found.get("records", [])]
             if all(isinstance(brick, str) for brick in banned):
-                return OpsState(frozenset(banned), draining)
+                return OpsState(frozenset(banned), draining, tuple(records))
     raise StateError("damaged: a field is missing or not of its type")
+
+
+def _record(one: object) -> tuple[str, int, int, bool]:
+    match one:
+        case [str() as server, int() as version, int() as by, bool() as out]:
+            return server, version, by, out
+    raise StateError("damaged: a record of a ban is not of its form")
--- a/garnetlanding/peers/codec.py
+++ b/garnetlanding/peers/codec.py
@@ -1,9 +1,15 @@
 """The form of what heads tell each other, version 1. Big-endian:
 
-    version 1 byte | kind 1 | life 6 | number 4 | answered life 6 | answered number 4 | asks 1 | grants 1
+    version 1 byte | kind 1 | life 6 | number 4 | answered life 6 | answered number 4 | count 1 | count 1
+    what the kind has to tell
+    CRC-32 of all before it 4 bytes
+
+Leases (kind 1; the counts are those of asks and of grants):
+
     each ask:   volume 4 bytes (CRC-32 of its name) | wanted share of the plan's rate, in 1/250, 1 | hosts 1
     each grant: volume 4 bytes | share of the giver's own even part, in 1/250, 1
-    CRC-32 of all before it 4 bytes
+
+Words (kind 2) are in words.py: a head that has them off counts and drops them, and still takes leases.
 
 `life` is greater after each start of a head, `number` after each message of a life to one receiver. The
 answered life and number are those of the last message heard from the receiver: a grant counts from when that
@@ -17,7 +23,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-VERSION, LEASES = 1, 1
+VERSION, LEASES, WORDS = 1, 1, 2
 HEAD = struct.Struct(">BB6sI6sIBB")
 ASK, GRANT, SUM = struct.Struct(">IBB"), struct.Struct(">IB"), struct.Struct(">I")
 WHOLE = 250
@@ -28,6 +34,19 @@
     """A datagram that cannot be read; the text is its cause, one of a few, to be counted by."""
 
 
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A datagram whose sum holds; its body is not read yet."""
+
+    kind: int
+    life: int
+    number: int
+    re_life: int
+    re_number: int
+    counts: tuple[int, int]
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """`asks`: by volume, the share of the plan's rate that is wanted, and the volume's hosts. `grants`: by
@@ -64,37 +83,54 @@
         yield page
 
 
-def encode(m: Message) -> bytes:
-    """Wants are rounded up and grants down: what is given is never more than was meant."""
-    lives = m.life.to_bytes(6, "big"), m.re_life.to_bytes(6, "big")
-    counts = len(m.asks), len(m.grants)
-    parts = [HEAD.pack(VERSION, LEASES, lives[0], m.number, lives[1], m.re_number, *counts)]
-    parts += [ASK.pack(volume, min(WHOLE, -int(-share * WHOLE // 1)), hosts)
-              for volume, (share, hosts) in m.asks.items()]
-    parts += [GRANT.pack(v, int(share * WHOLE + 1e-9)) for v, share in m.grants.items()]
-    body = b"".join(parts)
-    return body + SUM.pack(zlib.crc32(body))
+def seal(e: Envelope) -> bytes:
+    head = HEAD.pack(VERSION, e.kind, e.life.to_bytes(6, "big"), e.number, e.re_life.to_bytes(6, "big"),
+                     e.re_number, *e.counts)
+    return head + e.body + SUM.pack(zlib.crc32(head + e.body))
 
 
-def decode(data: bytes, longest: int) -> Message:
+def unseal(data: bytes, longest: int) -> Envelope:
     """Raises BadMessage."""
     if len(data) > longest:
         raise BadMessage("too long")
     if len(data) < HEAD.size + SUM.size:
         raise BadMessage("torn")
-    version, kind, life, number, re_life, re_number, asks, grants = HEAD.unpack_from(data)
+    version, kind, life, number, re_life, re_number, *counts = HEAD.unpack_from(data)
     if version != VERSION:
         raise BadMessage("other version")
-    first = HEAD.size + asks * ASK.size
-    body = first + grants * GRANT.size
-    if len(data) != body + SUM.size or SUM.unpack_from(data, body)[0] != zlib.crc32(data[:body]):
+    end = len(data) - SUM.size
+    if SUM.unpack_from(data, end)[0] != zlib.crc32(data[:end]):
         raise BadMessage("torn")
-    if kind != LEASES:
+    return Envelope(kind, int.from_bytes(life, "big"), number, int.from_bytes(re_life, "big"), re_number,
+                    (counts[0], counts[1]), data[HEAD.size:end])
+
+
+def encode(m: Message) -> bytes:
+    """Wants are rounded up and grants down: what is given is never more than was meant."""
+    parts = [ASK.pack(volume, min(WHOLE, -int(-share * WHOLE // 1)), hosts)
+             for volume, (share, hosts) in m.asks.items()]
+    parts += [GRANT.pack(v, int(share * WHOLE + 1e-9)) for v, share in m.grants.items()]
+    return seal(Envelope(LEASES, m.life, m.number, m.re_life, m.re_number, (len(m.asks), len(m.grants)),
+                         b"".join(parts)))
+
+
+def decode(data: bytes, longest: int) -> Message:
+    """Raises BadMessage."""
+    return leases(unseal(data, longest))
+
+
+def leases(e: Envelope) -> Message:
+    """What an envelope of that kind holds. Raises BadMessage."""
+    asks, grants = e.counts
+    first = asks * ASK.size
+    if e.kind != LEASES:
         raise BadMessage("other kind")
-    asked = [ASK.unpack_from(data, HEAD.size + i * ASK.size) for i in range(asks)]
-    given = [GRANT.unpack_from(data, first + i * GRANT.size) for i in range(grants)]
+    if len(e.body) != first + grants * GRANT.size:
+        raise BadMessage("torn")
+    asked = [ASK.unpack_from(e.body, i * ASK.size) for i in range(asks)]
+    given = [GRANT.unpack_from(e.body, first + i * GRANT.size) for i in range(grants)]
     if any(share > WHOLE or not hosts for _, share, hosts in asked) or any(s > WHOLE for _, s in given):
         raise BadMessage("no share")
-    return Message(int.from_bytes(life, "big"), number, int.from_bytes(re_life, "big"), re_number,
+    return Message(e.life, e.number, e.re_life, e.re_number,
                    {volume: (share / WHOLE, hosts) for volume, share, hosts in asked},
                    {volume: share / WHOLE for volume, share in given})
--- /dev/null
+++ b/garnetlanding/peers/fleet.py
@@ -0,0 +1,90 @@
+"""One head's side of verdicts and bans: what it has seen, what it hears, what it has to tell. No clock, no
+socket; `Talk` carries its messages.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from garnetlanding.decision import interface as api
+from garnetlanding.peers.bans import NOTHING, Bans, Record
+from garnetlanding.peers.codec import Envelope
+from garnetlanding.peers.limits import PeerLimits
+from garnetlanding.peers.sightings import Sightings
+from garnetlanding.peers.verdicts import MS, Verdicts
+from garnetlanding.peers.words import Words, envelope, fit, read
+
+
+class Fleet:
+    def __init__(self, limits: PeerLimits, verdicts: bool = True, bans: bool = True,
+                 note: Callable[..., None] | None = None) -> None:
+        """Of `verdicts` and `bans`, what is off is neither told nor heard. `note` writes a history's line."""
+        self._limits, self._with = limits, (verdicts, bans)
+        self.sightings, self.verdicts = Sightings(limits), Verdicts(limits)
+        self.bans = Bans(limits)
+        self._digests: dict[int, tuple[int, bytes]] = {}  # of each head: its life, and its table as last told
+        self._turn: Counter[int] = Counter()  # of the records told to each head
+        self._heard: dict[str, Record] = {}
+        self._told: dict[str, int] = {}  # as the module has it
+        self._note = note
+
+    def keep(self, bans: Bans) -> None:
+        """The table as it stands from now on."""
+        if self._note and bans.banned != self.bans.banned:
+            self._note("bans", out=sorted(bans.banned))
+        self.bans = bans
+
+    def take(self) -> list[Record]:
+        """The records that others have told and that this head does not have; empties the list."""
+        heard, self._heard = list(self._heard.values()), {}
+        return heard
+
+    def heard(self, sender: int, e: Envelope, sent_at: int | None, now: int) -> Counter[str]:
+        """Raises BadMessage. Gives back what was dropped, by cause."""
+        words = read(e)
+        self._digests[sender] = e.life, words.digest
+        for record in words.records if self._with[1] else ():
+            known = [r.rank for table in (self.bans.records, self._heard) if (r := table.get(record.server))]
+            if record.rank > max(known, default=(-1, 0, False)) and (
+                    record.server in self._heard or len(self._heard) < self._limits.bans):
+                self._heard[record.server] = record
+        evidence = words.evidence if self._with[0] else ()
+        return self.verdicts.heard(sender, evidence, sent_at, now, self.sightings)
+
+    def hearsay(self, now: int) -> api.Hearsay | None:
+        """What the module is to be told, where it differs from what it was told."""
+        doubted = self.verdicts.doubted(now, self.sightings)
+        if doubted == self._told or not (doubted or self._told):
+            return None
+        self._told = doubted
+        if self._note:
+            self._note("doubted", servers=doubted)
+        return api.Hearsay(doubted)
+
+    def say(self, heads: dict[int, tuple[int, int]], life: int, number: int, now: int,
+            tightest_us: int) -> list[tuple[int, Envelope]]:
+        """One message to each of these heads: all of the evidence that one datagram holds, and records where
+        its table differs. `heads`: life and number of the last message heard from each."""
+        seen = self.sightings.evidence(now, tightest_us) if self._with[0] else []
+        if self._note and seen:
+            self._note("seen", servers={node: [e.kind.name.lower(), now - e.age_ms * MS] for node, e in seen})
+        evidence = [e for _, e in seen]
+        table = sorted(self.bans.records.values(), key=lambda r: r.rank, reverse=True)
+        told = []
+        for who, (its_life, its_number) in heads.items():
+            same = self._digests.get(who, (its_life, NOTHING)) == (its_life, self.bans.digest)
+            turn = self._turn[who] % max(1, len(table))
+            records = [] if same else table[turn:] + table[:turn]
+            some, more = fit(evidence, records, self._limits.datagram_bytes)
+            self._turn[who] += more
+            words = Words(self.bans.digest, tuple(evidence[:some]), tuple(records[:more]))
+            told.append((who, envelope(words, life, number, its_life, its_number)))
+        return told
+
+    def known(self, what: str, now: int, tightest_us: int) -> list[dict[str, object]]:
+        """The `verdicts` on each listed server, or the `bans`, for operators."""
+        if what == "verdicts":
+            return self.verdicts.known(now, self.sightings, tightest_us)
+        return [{"server": r.server, "out": r.out, "head": r.by, "version": r.version}
+                for r in sorted(self.bans.records.values())]
--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -94,22 +94,15 @@
 
     def heard(self, sender: int, m: Message, now: int) -> str:
         """Takes a head's word up; returns why not, if not."""
-        if sender == self.me or not 0 <= sender < self.heads:
-            return "no peer"
-        peer = self.peers.get(sender)
-        if peer and now - peer.heard_at > self._limits.stale_us:
-            peer = None  # its clock may have been set back: what it says is new by its own reckoning
-        if peer and (m.life, m.number) <= (peer.life, peer.number):
-            return "old"
-        if peer is None or m.life != peer.life:
-            peer = self.peers[sender] = Peer(m.life, m.number, now)
-        peer.number, peer.heard_at = m.number, now
+        if why := self.contact(sender, m.life, m.number, now):
+            return why
+        peer = self.peers[sender]
         for volume, (share, hosts) in m.asks.items():
             if volume in peer.asks or len(peer.asks) < self._limits.volumes:
                 peer.asks[volume] = share, hosts, now
             if volume in self.own:
                 self.own[volume].others[sender] = now
-        sent_at = self._sent.get(m.re_number) if m.re_life == self.life else None
+        sent_at = self.sent_at(m.re_life, m.re_number)
         if sent_at is not None:
             for volume, share in m.grants.items():
                 # Only what this head asked for: anything else would be kept for nothing.
@@ -118,6 +111,25 @@
             self.look_at = now
         return ""
 
+    def contact(self, sender: int, life: int, number: int, now: int) -> str:
+        """Any message of a head; returns why it is not taken up, if not."""
+        if sender == self.me or not 0 <= sender < self.heads:
+            return "no peer"
+        peer = self.peers.get(sender)
+        if peer and now - peer.heard_at > self._limits.stale_us:
+            peer = None  # its clock may have been set back: what it says is new by its own reckoning
+        if peer and (life, number) <= (peer.life, peer.number):
+            return "old"
+        if peer is None or life != peer.life:
+            peer = self.peers[sender] = Peer(life, number, now)
+        peer.number, peer.heard_at = number, now
+        return ""
+
+    def sent_at(self, life: int, number: int) -> int | None:
+        """When this head sent the message that another says it has heard; None: not lately, or not in this
+        life."""
+        return self._sent.get(number) if life == self.life else None
+
     def say(self, now: int) -> dict[int, tuple[dict[int, tuple[float, int]], dict[int, float]]]:
         """What to tell each head now: this one's asks, busiest first, and what it gives, which counts as gone
         from here on. A head that is to be told nothing is left out."""
--- a/garnetlanding/peers/limits.py
+++ b/garnetlanding/peers/limits.py
@@ -28,4 +28,24 @@
     volumes: int = 4096  # figures kept of one peer, so that a forged one can't grow without end
     receive_turn: int = 64  # datagrams taken in one turn of the loop
     count_every_us: int = 10 * SECOND  # between lines in the log on what was dropped
+    # Verdicts: what is seen of a server, and what others' words of it count for.
+    word_us: int = 2 * SECOND  # nothing is believed that was seen longer ago; eight rounds
+    refused_row: int = 3  # connects refused in a row: some break by chance
+    silent_aims: float = 2.0  # unheard for so many tightest aims, with requests out: pauses are shorter
+    silent_out: int = 2  # so many of them: a single one may be a heavy one
+    full_row: int = 3  # turned away in a row: one may be turned away for itself
+    slow_aims: float = 1.0  # mean answer of so many tightest aims
+    slow_answers: int = 4  # that such a mean takes
+    answer_gain: float = 0.25  # weight of a new answer in it
+    trust: float = 0.75  # added credit of those whose words make a server doubted: one head in good standing
+    refuted: float = 0.8  # of a head's credit is left after a word that an answer speaks against
+    persist_us: int = SECOND  # a word that is so much later than that answer counts as wrong, not as late
+    recover_us: int = 60 * SECOND  # from no credit to all of it
+    doubted_share: float = 1 / 3  # of the listed servers at a time; at least one
+    life_slack_us: int = 2 * SECOND  # a server's life began at the same time if told within this
+    # Bans of operators, for all heads.
+    bans: int = 256  # records kept, of servers out and of those put back
+    ban_name: int = 180  # bytes of a server's name: a record fits into a datagram
+    ban_ahead_ms: int = 3_600_000  # a version further ahead of the wall clock could never be outbid
+    look_us: int = 250 * MS  # between looks whether other heads have said something
     open_retry_us: int = SECOND  # between tries to have the address, while an older process has it
--- a/garnetlanding/peers/setup.py
+++ b/garnetlanding/peers/setup.py
@@ -1,4 +1,4 @@
-"""The platform's keys that place the link between heads."""
+"""The platform's keys that place the link between heads, and the operator's `[fleet]`."""
 
 from __future__ import annotations
 
@@ -30,3 +30,20 @@
     peers = {i: addresses.address(str(i)) for i in range(len(listed)) if i != me}
     everyone = top.address("peers_all") if top.has("peers_all") else ""
     return PeerSetup(top.address("peer_listen"), peers, everyone)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSetup:
+    """What heads tell each other beside parts of limits."""
+
+    verdicts: bool = True
+    bans: bool = True
+
+
+def read_fleet(data: object) -> FleetSetup:
+    """Raises ConfigError."""
+    section = Section(data, "fleet", "verdicts bans")
+    for key, value in section.data.items():
+        if not isinstance(value, bool):
+            raise ConfigError(f"key {section.name(key)}: expected true or false, found {value!r:.40}")
+    return FleetSetup(**section.data)
--- /dev/null
+++ b/garnetlanding/peers/sightings.py
@@ -0,0 +1,139 @@
+"""What this head itself has seen of each listed server, from the events and actions that pass to and from the
+decision module. Observes; decides nothing for a request. No clock, no socket.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from garnetlanding.decision import interface as api
+from garnetlanding.decision.interface import Outcome
+from garnetlanding.peers.limits import PeerLimits
+from garnetlanding.peers.words import LONG_AGO, Evidence, Kind, tag
+
+TENTH = 100_000
+NEVER = -(1 << 62)
+SPOKE = (Outcome.SERVED, Outcome.ERROR, Outcome.FULL)
+
+
+@dataclass(slots=True)
+class Sight:
+    """Of one life of one server. Times are those of the last such observation."""
+
+    entry: api.NodeEntry
+    heard_at: int = NEVER  # any answer
+    served_at: int = NEVER
+    quick_at: int = NEVER  # served within the tightest aim
+    out: dict[str, int] = field(default_factory=dict)  # requests sent and unanswered, and when
+    refused: int = 0  # in a row
+    refused_at: int = NEVER
+    unheard: int = 0  # attempts given up, in a row
+    unheard_at: int = NEVER
+    full: int = 0  # in a row
+    full_at: int = NEVER
+    answers: int = 0
+    latency: float = 0.0  # mean, of served ones
+    was_down: bool = False
+    back_at: int = NEVER
+
+    def proof_at(self, kind: Kind) -> int:
+        """The last moment at which this head saw the contrary."""
+        if kind in (Kind.DEAD, Kind.SILENT):
+            return self.heard_at
+        return self.served_at if kind is Kind.FULL else self.quick_at
+
+
+class Sightings:
+    def __init__(self, limits: PeerLimits) -> None:
+        self._limits = limits
+        self.servers: dict[str, Sight] = {}
+        self.names: dict[int, str] = {}  # by tag
+
+    def see(self, now: int, events: Iterable[api.Event], tightest_us: int) -> None:
+        """Before the module is told of them."""
+        for event in events:
+            match event:
+                case api.NodeList():
+                    self._listed(event)
+                case api.Result():
+                    if sight := self.servers.get(event.node):
+                        self._ended(sight, event, now, tightest_us)
+
+    def acted(self, now: int, actions: Iterable[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send) and (sight := self.servers.get(action.node)):
+                sight.out.setdefault(action.request, now)
+
+    def _listed(self, event: api.NodeList) -> None:
+        if event.failed:
+            return
+        told = {e.node: e for e in event.entries}
+        if event.whole:
+            for node in set(self.servers) - set(told):
+                self._drop(node)
+        for node, entry in told.items():
+            known = self.servers.get(node)
+            if entry.state is not api.NodeState.UP or entry.by_hand:
+                self._drop(node)
+            elif known is None or known.entry.started_us != entry.started_us:
+                self.servers[node] = Sight(entry)
+                self.names[tag(node)] = node
+
+    def _drop(self, node: str) -> None:
+        if self.servers.pop(node, None):
+            self.names.pop(tag(node), None)
+
+    def _ended(self, sight: Sight, e: api.Result, now: int, tightest_us: int) -> None:
+        sight.out.pop(e.request, None)
+        if e.outcome in SPOKE:
+            if sight.was_down:
+                sight.was_down, sight.back_at = False, now
+            sight.heard_at, sight.refused, sight.unheard = now, 0, 0
+        match e.outcome:
+            case Outcome.SERVED:
+                sight.served_at, sight.full = now, 0
+                sight.quick_at = now if e.took_us <= tightest_us else sight.quick_at
+                gain = self._limits.answer_gain if sight.answers else 1.0
+                sight.latency += (e.took_us - sight.latency) * gain
+                sight.answers += 1
+            case Outcome.UNREACHABLE:
+                sight.refused, sight.refused_at = sight.refused + 1, now
+            case Outcome.TIMEOUT:
+                sight.unheard, sight.unheard_at = sight.unheard + 1, now
+            case Outcome.FULL:
+                sight.full, sight.full_at = sight.full + 1, now
+
+    def evidence(self, now: int, tightest_us: int) -> list[tuple[str, Evidence]]:
+        """What is to be told, the freshest first: by server, one verdict each."""
+        found: list[tuple[str, Evidence]] = []
+        for node, sight in self.servers.items():
+            if seen := self._verdict(sight, now, tightest_us):
+                kind, count, at = seen
+                sight.was_down = sight.was_down or kind in (Kind.DEAD, Kind.SILENT)
+                if now - at <= self._limits.word_us:
+                    age = -(-(now - at) // 1000)
+                    found.append((node, Evidence(kind, tag(node), life_of(sight.entry, now), count, age)))
+        return sorted(found, key=lambda one: one[1].age_ms)
+
+    def _verdict(self, s: Sight, now: int, tightest_us: int) -> tuple[Kind, int, int] | None:
+        """Kind, count, and when last seen."""
+        limits = self._limits
+        if s.refused >= limits.refused_row:
+            return Kind.DEAD, s.refused, s.refused_at
+        since = now - int(limits.silent_aims * tightest_us)
+        late = sum(sent <= since for sent in s.out.values()) if s.heard_at <= since else 0
+        if late + s.unheard >= limits.silent_out:
+            return Kind.SILENT, late + s.unheard, now if late else s.unheard_at
+        if s.full >= limits.full_row:
+            return Kind.FULL, s.full, s.full_at
+        if s.answers >= limits.slow_answers and s.latency > limits.slow_aims * tightest_us:
+            return Kind.SLOW, s.answers, s.served_at
+        if s.back_at > NEVER:
+            return Kind.COLD, 1, s.back_at
+        return None
+
+
+def life_of(entry: api.NodeEntry, now: int) -> int:
+    """How long ago a server's process started, as it is told."""
+    return min(LONG_AGO, max(0, now - entry.started_us) // TENTH) if entry.started_us else LONG_AGO
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from garnetlanding.core.ports import Module
 from garnetlanding.decision import interface as api
@@ -15,6 +16,8 @@
 from garnetlanding.peers.leases import Leases
 from garnetlanding.peers.limits import PeerLimits
 
+if TYPE_CHECKING:  # what is off is not imported
+    from garnetlanding.peers.fleet import Fleet
 
 class Talk:
     """Stands where the module stood. `life` must be greater at each start of this head."""
@@ -22,15 +25,17 @@
     def __init__(self, module: Module, life: int, limits: PeerLimits | None = None,
                  dropped: Counter[str] | None = None,
                  believed: Callable[[dict[str, float], int], None] | None = None,
-                 speaks: bool = True) -> None:
+                 speaks: bool = True, fleet: Fleet | None = None) -> None:
         """`dropped` counts messages by cause; `believed` is told what the module has, and until when
-        at most. Not `speaks`: another process of this head does so for it, and uses its parts."""
+        at most. Not `speaks`: another process of this head does so for it, and uses its parts. `fleet`
+        tells and hears of servers, too."""
         self.module, self.limits, self.life = module, limits or PeerLimits(), life
         self.leases: Leases | None = None
         self.dropped: Counter[str] = Counter() if dropped is None else dropped
         self._believed = believed
         self._say_at = 0
         self._speaks = speaks
+        self.fleet = fleet
 
     def take_over(self, now: int) -> None:
         """The head's other process speaks no more: this one does, as after a start."""
@@ -49,9 +54,11 @@
         return self.module.s
 
     def known(self, what: str, now: int) -> list[dict[str, object]]:
-        """The `limits` or the `members`, for operators."""
+        """The `limits`, the `members`, the `verdicts` or the `bans`, for operators."""
         if self.leases is None:
             return []
+        if what in ("verdicts", "bans"):
+            return self.fleet.known(what, now, self._tightest_us) if self.fleet else []
         return self.leases.limits(now) if what == "limits" else self.leases.members(now)
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
@@ -77,6 +84,10 @@
             self._wake(told, now, self._every)
             if self.s.may_tell and self._speaks:
                 told += self._texts(leases, now)
+        if self.fleet:
+            self.fleet.sightings.see(now, rest, self._tightest_us)
+            if (hearsay := self.fleet.hearsay(now)) is not None:
+                rest.append(hearsay)
         looks = now >= leases.look_at
         if parts := leases.parts(now):
             # In the same call as all that came: the module sends only once it has heard everything, so what
@@ -84,7 +95,14 @@
             rest.append(api.Parts(parts))
         if looks and self._believed:
             self._believed(leases.believed() | parts, leases.look_at)
-        return self.module.handle(now, rest) + told
+        actions = self.module.handle(now, rest)
+        if self.fleet:
+            self.fleet.sightings.acted(now, actions)
+        return actions + told
+
+    @property
+    def _tightest_us(self) -> int:
+        return min(c.aim_us for c in self.s.classes.values())
 
     @property
     def _every(self) -> int:
@@ -97,7 +115,14 @@
 
     def _hear(self, leases: Leases, message: api.PeerMessage, now: int) -> None:
         try:
-            why = leases.heard(message.sender, codec.decode(message.payload, self.limits.datagram_bytes), now)
+            e = codec.unseal(message.payload, self.limits.datagram_bytes)
+            if e.kind == codec.WORDS and self.fleet:
+                why = leases.contact(message.sender, e.life, e.number, now)
+                if not why:
+                    self.dropped.update(self.fleet.heard(
+                        message.sender, e, leases.sent_at(e.re_life, e.re_number), now))
+            else:
+                why = leases.heard(message.sender, codec.leases(e), now)
         except codec.BadMessage as problem:
             why = str(problem)
         if why:
@@ -112,4 +137,8 @@
                     numbers.append(leases.sending(now))
                 message = codec.Message(self.life, numbers[i], *leases.last_heard(who), *page)
                 texts.append(api.Tell(codec.encode(message), who))
+        if self.fleet:
+            heads = {who: leases.last_heard(who) for who in range(self.s.hosts) if who != self.s.me}
+            words = self.fleet.say(heads, self.life, leases.sending(now), now, self._tightest_us)
+            texts += [api.Tell(codec.seal(e), who) for who, e in words]
         return texts
--- /dev/null
+++ b/garnetlanding/peers/verdicts.py
@@ -0,0 +1,116 @@
+"""What other heads' words about servers count for here: evidence with an age, never a verdict.
+
+A word is believed until its greatest possible age; it counts by its author's credit; what this head has heard
+itself, later, beats it (docs/design/fleet-verdicts.md). No clock, no socket.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from garnetlanding.peers.limits import PeerLimits
+from garnetlanding.peers.sightings import NEVER, TENTH, Sightings, life_of
+from garnetlanding.peers.words import LONG_AGO, Evidence, Kind
+
+MS = 1000
+
+
+@dataclass(slots=True)
+class Claim:
+    """The last word of one head about one server."""
+
+    kind: Kind
+    count: int
+    latest: int  # it was seen no later than this
+    until: int  # and no earlier than this less the greatest age
+    answered_at: int = NEVER  # this head's first proof of the contrary since the word, or the one before
+
+
+class Verdicts:
+    def __init__(self, limits: PeerLimits) -> None:
+        self._limits = limits
+        self._claims: dict[str, dict[int, Claim]] = {}  # by server and head
+        self._credit: dict[int, tuple[float, int]] = {}  # by head: how much, and when
+
+    def credit(self, head: int, now: int) -> float:
+        value, at = self._credit.get(head, (1.0, now))
+        return min(1.0, value + (now - at) / self._limits.recover_us)
+
+    def heard(self, sender: int, evidence: Iterable[Evidence], sent_at: int | None, now: int,
+              seen: Sightings) -> Counter[str]:
+        """All that a head has to say at this moment; what it said before and does not repeat is withdrawn.
+        `sent_at`: when this head sent the last message the sender had heard by then, by this head's clock.
+        Gives back how many words were dropped, by cause."""
+        dropped: Counter[str] = Counter()
+        told: set[str] = set()
+        for e in evidence:
+            node = seen.names.get(e.server)
+            sight = seen.servers.get(node) if node else None
+            if node is None or sight is None:
+                dropped["no such server"] += 1
+            elif not self._same_life(e.life, life_of(sight.entry, now)):
+                dropped["other life"] += 1
+            elif sent_at is None or sent_at - e.age_ms * MS + self._limits.word_us <= now:
+                dropped["word too old"] += 1
+            else:
+                told.add(node)
+                until = sent_at - e.age_ms * MS + self._limits.word_us
+                self._take(node, sender, Claim(e.kind, e.count, now - e.age_ms * MS, until), now, seen)
+        for node, claims in list(self._claims.items()):
+            if node not in told:
+                claims.pop(sender, None)
+            if not claims:
+                del self._claims[node]
+        return dropped
+
+    def _same_life(self, told: int, known: int) -> bool:
+        if LONG_AGO in (told, known):
+            return told == known or min(told, known) > LONG_AGO - self._limits.life_slack_us // TENTH
+        return abs(told - known) <= self._limits.life_slack_us // TENTH
+
+    def _take(self, node: str, sender: int, claim: Claim, now: int, seen: Sightings) -> None:
+        """A head that goes on saying what this one's traffic speaks against loses credit, one that was
+        merely not quick to hear of the change does not."""
+        claims = self._claims.setdefault(node, {})
+        old = claims.get(sender)
+        if old and old.kind is claim.kind:
+            proof = seen.servers[node].proof_at(claim.kind)
+            answered = old.answered_at if old.answered_at > NEVER else proof if proof > old.latest else NEVER
+            if NEVER < answered < claim.latest - self._limits.persist_us:
+                self._credit[sender] = self.credit(sender, now) * self._limits.refuted, now
+                answered = NEVER
+            claim.answered_at = answered
+        claims[sender] = claim
+
+    def doubted(self, now: int, seen: Sightings) -> dict[str, int]:
+        """The servers with whom to be careful on others' word alone, and until when at most."""
+        weights: list[tuple[float, str, int]] = []
+        for node, claims in list(self._claims.items()):
+            sight = seen.servers.get(node)
+            for sender in [who for who, claim in claims.items() if claim.until <= now]:
+                del claims[sender]
+            if sight is None or not claims:
+                del self._claims[node]
+                continue
+            valid = [(who, c) for who, c in claims.items() if c.latest > sight.proof_at(c.kind)]
+            weight = sum(self.credit(who, now) for who, _ in valid)
+            if weight >= self._limits.trust:
+                weights.append((weight, node, max(c.until for _, c in valid)))
+        most = max(1, int(self._limits.doubted_share * len(seen.servers)))
+        chosen = sorted(weights, key=lambda one: (-one[0], one[1]))[:most]
+        return {node: until for _, node, until in chosen}
+
+    def known(self, now: int, seen: Sightings, tightest_us: int) -> list[dict[str, object]]:
+        """For operators: what is believed of each server, from whom, how old at most."""
+        own, doubted = dict(seen.evidence(now, tightest_us)), self.doubted(now, seen)
+        return [{
+            "server": node, "own": own[node].kind.name.lower() if node in own else "",
+            "own_ms": own[node].age_ms if node in own else None,
+            "doubted_ms": (doubted[node] - now) // MS if node in doubted else None,
+            "words": [{"head": who, "says": c.kind.name.lower(), "count": c.count,
+                       "age_ms": (now - c.until + self._limits.word_us) // MS,
+                       "credit": round(self.credit(who, now), 2)}
+                      for who, c in sorted(self._claims.get(node, {}).items()) if c.until > now],
+        } for node in sorted(seen.servers)]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -38,7 +38,8 @@
     ({"fault": [{"kind": "cut", "at_s": 2, "until_s": 2}]}, "key fault.0.until_s: not after"),
     ({"fault": [{"kind": "cut", "at_s": 9, "until_s": 10}]}, "key fault.0.at_s"),
     ({"fault": [{"kind": "loss", "at_s": 1, "until_s": 2, "share": 2}]}, "key fault.0.share"),
-    ({"fault": {"kind": "cut"}}, "key fault: expected"),
+    ({"fault": {"kind": "cut"}}, "key fault: expected"), ({"fleet": 1}, "key fleet: expected"),
+    ({"fault": [{"kind": "drain", "who": "n1", "at_s": 1, "until_s": 2}]}, "key fault.0.until_s: a call"),
 ])
 def test_a_fault_in_an_experiments_file_names_its_key(change: dict[str, Any], key: str) -> None:
     with pytest.raises(ConfigError, match=key):
@@ -93,8 +94,8 @@
 def answered(requests: list[plan.Request], outcome: str = "served") -> list[dict[str, Any]]:
     lines: list[dict[str, Any]] = []
     for r in requests:
-        lines.append({"t": r.at_us, "what": "ran", "id": r.id, "volume": r.volume})
-        lines.append({"t": r.at_us + 1, "what": "answer", "id": r.id, "outcome": outcome})
+        lines.append({"t": r.at_us, "who": "bricks", "what": "ran", "id": r.id, "volume": r.volume})
+        lines.append({"t": r.at_us + 1, "who": "clients", "what": "answer", "id": r.id, "outcome": outcome})
     return lines
 
 
@@ -108,22 +109,39 @@
     def found(*lines: dict[str, Any], without: int = 0) -> str:
         return " ".join(checks.check(slow, requests, [*sound[without:], *lines]).broken)
 
-    assert "one answer" in found({"t": 9, "what": "answer", "id": first.id, "outcome": "served"})
+    twice = {"t": 9, "who": "clients", "what": "answer", "id": first.id, "outcome": "served"}
+    assert "one answer" in found(twice)
     assert "never noted" in found(without=2)
     assert "no brick ran it" in found(without=1)
-    ran = {"t": 9, "what": "ran", "id": first.id, "volume": first.volume}
+    ran = {"t": 9, "who": "bricks", "what": "ran", "id": first.id, "volume": first.volume}
     assert "ran 4 times" in found(*[ran] * 3)
-    assert "more behind" in found({"t": 9, "what": "extra", "id": first.id, "count": 1})
+    assert "more behind" in found({"t": 9, "who": "clients", "what": "extra", "id": first.id, "count": 1})
     parts = [{"t": 9, "what": "parts", "who": f"n{n}", "until": 99, "parts": {plan.volume_name(0): 0.7}}
              for n in (0, 1)]
     assert "add up to 1.400" in found(*parts) and not found(parts[0])
     assert not found(parts[0] | {"until": 9}, parts[1]), "that head looks again before it sends"
+    seen = {"t": 5, "what": "seen", "who": "n1", "servers": {"b0": ["dead", 5]}}
+    doubt = {"t": 9, "what": "doubted", "who": "n0", "servers": {"b0": 5 + 2 * SECOND}}
+    assert not found(seen, doubt) and "nobody has seen in time" in found(doubt)
+    assert "doubts 2 servers" in found(seen, doubt | {"servers": dict.fromkeys(("b0", "b1"), 5)})
     lost = answered(requests, "lost")
     assert len(checks.check(slow, requests, lost).broken) >= len(requests)
     killed = replace(slow, faults=tuple(fault("kill", 0, 4, who=n) for n in range(3)))
     assert not [b for b in checks.check(killed, requests, lost).broken if "one answer" in b]
 
 
+def test_a_ban_that_does_not_hold_is_found() -> None:
+    banned = replace(CALM, heads=2, faults=(fault("disable", 1, 4, who=0, brick=1),))
+    out = [{"t": 2, "what": "bans", "who": f"n{n}", "out": ["b1"]} for n in (0, 1)]
+    ran = {"t": SECOND, "who": "bricks", "what": "ran", "id": "r", "brick": 1, "volume": "v"}
+
+    def found(*lines: dict[str, Any]) -> str:
+        return " ".join(checks.check(banned, [], list(lines)).broken)
+
+    assert found(*out) == "" and "which all heads had out" in found(*out, ran)
+    assert "differ at the end" in found(out[0], ran) and "which" not in found(out[0], ran)
+
+
 def test_a_limit_that_is_passed_is_found() -> None:
     requests = plan.draw(replace(CALM, load=replace(CALM.load, rate=200.0)))
     findings = checks.check(CALM, requests, answered(requests))
@@ -229,3 +247,35 @@
     late = result.began + 4 * SECOND
     ran = {line["brick"] for line in result.lines if line["what"] == "ran" and line["t"] > late}
     assert ran == {0, 1, 2}, "no healthy brick is shunned"
+
+
+def test_a_ban_said_at_one_process_holds_at_all_and_is_lifted_at_another(tmp_path: pathlib.Path) -> None:
+    """One head is cut off meanwhile, and one is killed: it comes back with what it had on disk."""
+    calls = (fault("disable", 0.5, 6, who=0, brick=1), fault("cut", 0.2, 1.5, receiver=2),
+             fault("kill", 1.6, 2.0, who=1), fault("enable", 3.6, 6, who=2, brick=1))
+    result = play(tmp_path, replace(CALM, length_us=6 * SECOND, faults=calls))
+    called = [line["status"] for line in result.lines if line["what"] == "called"]
+    assert called == [200, 200]
+    said = [(line["who"], line["out"]) for line in result.lines if line["what"] == "bans"]
+    assert {who for who, out in said if out == ["b1"]} == {"n0", "n1", "n2"}
+    assert [sorted(who for who, out in said[-3:]), said[-1][1]] == [["n0", "n1", "n2"], []]
+
+
+def test_heads_hear_of_a_brick_that_refuses_and_none_doubts_what_nobody_saw(tmp_path: pathlib.Path) -> None:
+    down = (fault("down", 1, 3, who=2),)
+    result = play(tmp_path, replace(CALM, length_us=4 * SECOND, faults=down))
+    seen = {line["who"] for line in result.lines if line["what"] == "seen" and "b2" in line["servers"]}
+    assert seen and result.findings.doubts
+    late = result.began + 3.5 * SECOND
+    assert any(line["what"] == "ran" and line["brick"] == 2 and line["t"] > late for line in result.lines)
+
+
+def test_a_process_that_lies_does_not_take_the_others_servers(tmp_path: pathlib.Path) -> None:
+    """Every brick goes on serving what comes through the heads that are lied to."""
+    lie = (fault("lie", 0.5, 4, who=0),)
+    result = play(tmp_path, replace(CALM, faults=lie))
+    assert result.fates["lie"] and result.findings.doubts
+    served = {line["id"] for line in result.lines if line["what"] == "answer" and line["outcome"] == "served"}
+    ran = {line["brick"] for line in result.lines
+           if line["what"] == "ran" and line["id"] in served and line["t"] > result.began + 2 * SECOND}
+    assert ran == {0, 1, 2}
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,303 @@
+"""What heads tell each other of servers: what each sees, what a word counts for, bans of the whole fleet."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import replace
+from itertools import permutations
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from garnetlanding import config
+from garnetlanding.decision import interface as api
+from garnetlanding.decision.control import Controller
+from garnetlanding.decision.interface import Outcome
+from garnetlanding.http.head import HttpError
+from garnetlanding.ops.file import StateFile
+from garnetlanding.ops.shared import SharedBans
+from garnetlanding.ops.state import OpsState, StateError, decode, encode
+from garnetlanding.peers import codec
+from garnetlanding.peers.bans import DIGEST, NOTHING, BanError, Bans, Record
+from garnetlanding.peers.codec import BadMessage
+from garnetlanding.peers.fleet import Fleet
+from garnetlanding.peers.limits import PeerLimits
+from garnetlanding.peers.setup import read_fleet
+from garnetlanding.peers.sightings import Sightings
+from garnetlanding.peers.talk import Talk
+from garnetlanding.peers.verdicts import Verdicts
+from garnetlanding.peers.words import LONG_AGO, Evidence, Kind, Words, envelope, fit, read, tag
+from tests.helpers import MS, SECOND, T0, settings, up
+
+LIMITS = PeerLimits()
+AIM = 200 * MS
+SIX = tuple(up(f"n{i}", i) for i in range(6))
+SERVED, REFUSED = Outcome.SERVED, Outcome.UNREACHABLE
+
+
+def result(node: str, outcome: Outcome, took: int = MS, request: str = "r") -> api.Result:
+    return api.Result(request, 0, node, outcome, took, False)
+
+
+def sightings(*events: api.Event, now: int = T0) -> Sightings:
+    seen = Sightings(LIMITS)
+    seen.see(now, [api.NodeList(SIX, whole=True), *events], AIM)
+    return seen
+
+
+def told(seen: Sightings, now: int = T0) -> dict[str, str]:
+    return {node: e.kind.name for node, e in seen.evidence(now, AIM)}
+
+
+# What is seen
+
+def test_each_verdict_rests_on_what_this_head_saw_and_an_answer_ends_it() -> None:
+    seen = sightings(*[result("n0", REFUSED)] * 3, *[result("n1", REFUSED)] * 2,
+                     *[result("n2", Outcome.FULL)] * 3, *[result("n3", SERVED, 300 * MS)] * 4,
+                     *[result("n4", Outcome.TIMEOUT)] * 2)
+    assert told(seen) == {"n0": "DEAD", "n2": "FULL", "n3": "SLOW", "n4": "SILENT"}
+    later = T0 + 100 * MS
+    seen.see(later, [result(n, SERVED) for n in ("n0", "n2", "n4")] + [result("n3", SERVED)] * 4, AIM)
+    assert told(seen, later) == {"n0": "COLD", "n4": "COLD"}, "back, and perhaps cold"
+    assert told(seen, later + LIMITS.word_us + 1) == {}
+
+
+def test_silence_is_seen_while_requests_are_out_and_one_heavy_request_is_none() -> None:
+    seen = sightings(result("n0", SERVED))
+    seen.acted(T0, [api.Send("a", "n0"), api.Send("b", "n0"), api.Send("c", "n1")])
+    assert not told(seen, T0 + 2 * AIM - 1)
+    assert told(seen, T0 + 2 * AIM) == {"n0": "SILENT"}
+    seen.see(T0 + 2 * AIM, [result("n0", SERVED, request="a")], AIM)
+    assert told(seen, T0 + 2 * AIM) == {"n0": "COLD"}
+    seen.see(T0 + 2 * AIM, [api.NodeList((replace(SIX[0], state=api.NodeState.DRAINING),))], AIM)
+    assert "n0" not in seen.servers, "told of by the list: nothing is said about it"
+
+
+# What a word counts for
+
+def dead(node: str = "n0", age_ms: int = 0, life: int = LONG_AGO, kind: Kind = Kind.DEAD) -> Evidence:
+    return Evidence(kind, tag(node), life, 3, age_ms)
+
+
+def test_a_word_is_believed_until_its_greatest_possible_age_and_not_without_an_exchange() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    assert v.heard(1, [dead()], None, T0, seen) == {"word too old": 1}
+    assert v.heard(1, [dead(age_ms=500)], T0 - 300 * MS, T0, seen) == {}
+    until = T0 - 800 * MS + LIMITS.word_us
+    assert v.doubted(T0, seen) == {"n0": until} and not v.doubted(until, seen)
+    late = T0 - LIMITS.word_us
+    assert v.heard(1, [dead()], late, T0, seen) == {"word too old": 1}
+    assert v.heard(1, [dead("x"), dead("n1", life=7)], T0, T0, seen) == {"no such server": 1, "other life": 1}
+    assert v.heard(1, [], T0, T0, seen) == {} and not v.doubted(T0, seen), "not repeated: withdrawn"
+
+
+def test_lives_are_compared_by_how_long_ago_they_began() -> None:
+    seen = Sightings(LIMITS)
+    seen.see(T0, [api.NodeList((replace(SIX[0], started_us=T0 - 40 * SECOND),), whole=True)], AIM)
+    for life, same in ((400, True), (385, True), (430, False), (20, False), (LONG_AGO, False)):
+        assert (Verdicts(LIMITS).heard(1, [dead(life=life)], T0, T0, seen) == {}) is same
+
+
+def test_own_evidence_beats_hearsay() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    v.heard(1, [dead()], T0, T0, seen)
+    seen.see(T0 + MS, [result("n0", Outcome.ERROR)], AIM)
+    assert not v.doubted(T0 + MS, seen)
+    v.heard(1, [dead("n1", kind=Kind.SLOW)], T0 + MS, T0 + MS, seen)
+    seen.see(T0 + 2 * MS, [result("n1", SERVED, 2 * AIM)], AIM)
+    assert v.doubted(T0 + 2 * MS, seen), "a late answer does not speak against slow"
+    seen.see(T0 + 3 * MS, [result("n1", SERVED)], AIM)
+    assert not v.doubted(T0 + 3 * MS, seen)
+
+
+def test_one_head_counts_once_and_one_that_is_refuted_again_and_again_counts_less() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    now = T0
+    for _ in range(24):  # six seconds of rounds: it says that a server is dead which answers all the time
+        now += 250 * MS
+        v.heard(1, [dead()], now, now, seen)
+        now += MS
+        seen.see(now, [result("n0", SERVED)], AIM)
+    assert v.credit(1, now) < LIMITS.trust
+    v.heard(1, [dead("n1")], now, now, seen)
+    assert not v.doubted(now, seen), "nor is it believed of others"
+    v.heard(2, [dead("n1")], now, now, seen)
+    assert v.doubted(now, seen)
+    v.heard(1, [dead("n1")] * 5, now, now, seen)
+    v.heard(2, [], now, now, seen)
+    assert not v.doubted(now, seen), "saying it five times is saying it once"
+    assert v.credit(1, now + LIMITS.recover_us) == 1
+
+
+def test_a_head_that_was_right_keeps_its_credit_when_the_server_comes_back() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    for now in range(T0, T0 + 3 * SECOND, 250 * MS):
+        v.heard(1, [dead(age_ms=(now - T0) // MS % 1000)], now, now, seen)
+    seen.see(now, [result("n0", SERVED)], AIM)
+    for age in range(250, 1500, 250):  # it goes on telling what it saw before, as old as that is
+        v.heard(1, [dead(age_ms=age)], now + age * MS, now + age * MS, seen)
+    assert v.credit(1, now) == 1
+
+
+def test_a_set_share_of_the_servers_is_doubted_at_most() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    v.heard(1, [dead(f"n{i}") for i in range(6)], T0, T0, seen)
+    v.heard(2, [dead("n5")], T0, T0, seen)
+    assert len(v.doubted(T0, seen)) == 2 and "n5" in v.doubted(T0, seen)
+
+
+# Heads in one process
+
+class Heads:
+    """Three heads before two nodes; what they tell arrives at once, unless a test cuts it."""
+
+    def __init__(self) -> None:
+        self.now = T0
+        self.fleets = [Fleet(LIMITS) for _ in range(3)]
+        self.talks = [Talk(Controller(settings(may_tell=True, me=me), 1), life=1, fleet=fleet)
+                      for me, fleet in enumerate(self.fleets)]
+        self.inbox: list[list[api.Event]] = [[api.NodeList(SIX, whole=True, at_start=True)] for _ in range(3)]
+        self.sends: list[list[str]] = [[], [], []]
+
+    def run(self, rounds: int, *given: tuple[int, api.Event]) -> None:
+        for me, event in given:
+            self.inbox[me].append(event)
+        for _ in range(rounds):
+            self.now += 50 * MS
+            for me, talk in enumerate(self.talks):
+                events, self.inbox[me] = self.inbox[me], []
+                for action in talk.handle(self.now, events):
+                    if isinstance(action, api.Tell):
+                        assert len(action.payload) <= LIMITS.datagram_bytes
+                        self.inbox[action.to].append(api.PeerMessage(me, action.payload))
+                    elif isinstance(action, api.Send):
+                        self.sends[me].append(action.request)
+
+
+def arrival(name: str, now: int) -> api.Arrival:
+    return api.Arrival(name, "read", "gold", "v", "k", 1, 0, now + SECOND, 2)
+
+
+def test_a_head_is_careful_with_a_server_that_another_saw_dead_until_it_answers() -> None:
+    f = Heads()
+    f.run(20)
+    f.run(8, *[(1, result("n0", REFUSED))] * 3)
+    f.run(1, *[(0, arrival(f"r{i}", f.now)) for i in range(3)])
+    assert f.sends[0] == ["r0"], "one at a time, and never none"
+    f.run(1, (0, result("n0", SERVED, request="r0")))
+    assert f.sends[0] == ["r0", "r1", "r2"], "its own answer ends the doubt"
+    shown = f.talks[0].known("verdicts", f.now)
+    assert [w["head"] for w in shown[0]["words"]] == [1] and shown[0]["doubted_ms"] is None  # type: ignore
+
+
+def test_a_ban_reaches_all_and_is_lifted_from_any() -> None:
+    f = Heads()
+    f.run(10)
+    said = Bans(LIMITS)
+    said.say("n1", True, 0, 1000)
+    f.fleets[0].keep(said)
+    f.run(10)
+    for fleet in f.fleets[1:]:
+        assert [r.server for r in fleet.take()] == ["n1"] and not fleet.take()
+        fleet.keep(Bans(LIMITS, said.records.values()))
+    f.run(10)
+    assert not any(fleet.take() for fleet in f.fleets), "alike: nothing more is told"
+    lifted = Bans(LIMITS, said.records.values())
+    lifted.say("n1", False, 2, 500)
+    f.fleets[2].keep(lifted)
+    f.run(10)
+    assert [r.out for r in f.fleets[0].take()] == [False], "a clock that is behind does not keep it from that"
+    assert f.talks[0].known("bans", f.now)[0]["out"] is True
+
+
+# Bans
+
+RECORDS = [Record("a", 5, 0, True), Record("a", 5, 1, False), Record("b", 7, 2, True),
+           Record("a", 4, 9, True)]
+
+
+def test_tables_merge_to_the_same_one_in_any_order() -> None:
+    tables = []
+    for order in permutations(RECORDS):
+        bans = Bans(LIMITS)
+        for record in order:
+            bans.hear([record], 10)
+        tables.append((bans.digest, bans.banned))
+    assert set(tables) == {(tables[0][0], frozenset({"b"}))} and tables[0][0] != NOTHING
+
+
+def test_a_version_from_the_future_and_one_ban_too_many_are_not_taken() -> None:
+    bans = Bans(replace(LIMITS, bans=2), [Record("a", 1, 0, True), Record("b", 2, 0, False)])
+    assert bans.hear([Record("c", LIMITS.ban_ahead_ms + 11, 0, True)], 10) == ([], 1)
+    assert bans.say("c", True, 0, 0).version == 3 and set(bans.records) == {"a", "c"}, "the oldest back went"
+    with pytest.raises(BanError, match="2 servers are out"):
+        bans.say("d", True, 0, 0)
+    with pytest.raises(BanError, match="bytes"):
+        bans.say("x" * 181, True, 0, 0)
+    assert bans.hear([Record("d", 9, 0, True)], 10) == ([], 1) and bans.banned == {"a", "c"}
+
+
+def shared(fleet: Fleet, me: int = 0) -> SharedBans:
+    return SharedBans(fleet, LIMITS, lambda: me, lambda: 1000)
+
+
+def test_bans_are_kept_on_disk_with_their_versions(tmp_path: pathlib.Path) -> None:
+    fleet, file = Fleet(LIMITS), StateFile(str(tmp_path), "n1")
+    desk = shared(fleet)
+    state = file.change(lambda s: desk.say(s, "b1", True))
+    assert state.banned == {"b1"} and file.load() == state
+    desk.tell(state)
+    assert fleet.bans.records["b1"] == Record("b1", 1000, 0, True)
+    later = Record("b1", 2000, 1, False)
+    state = file.change(lambda s: desk.hear(s, [later]))
+    assert not state.banned and state.records == (later,)
+    assert desk.hear(state, [Record("b1", 1500, 2, True)]) == state, "last week's word"
+    older = decode("n1", encode("n1", OpsState(frozenset({"b2"}), records=(later,))))
+    assert desk.table(older).banned == {"b2"}, "put out by a process that had no versions"
+    with pytest.raises(HttpError, match="bytes"):
+        desk.say(state, "x" * 200, True)
+    with pytest.raises(StateError, match="record"):
+        decode("n1", encode("n1", OpsState(records=(("b", "x", 0, True),))))  # type: ignore[arg-type]
+
+
+# Bytes
+
+@given(st.lists(st.tuples(st.sampled_from(Kind), st.integers(0, 2**32 - 1), st.integers(0, LONG_AGO),
+                          st.integers(0, 255), st.integers(0, 65535)), max_size=30),
+       st.lists(st.tuples(st.text("abc-09", min_size=1, max_size=40), st.integers(0, 2**48 - 1),
+                          st.integers(0, 65535), st.booleans()), max_size=8))
+def test_what_fits_is_read_back_and_torn_bytes_are_refused(seen: list[Any], said: list[Any]) -> None:
+    evidence, records = [Evidence(*e) for e in seen], [Record(*r) for r in said]
+    some, more = fit(evidence, records, LIMITS.datagram_bytes)
+    told = Words(b"digest 8", tuple(evidence[:some]), tuple(records[:more]))
+    data = codec.seal(envelope(told, 9, 8, 7, 6))
+    assert len(data) <= LIMITS.datagram_bytes
+    assert (some, more) == (len(evidence), len(records)) or len(data) > 200 - 40 * (more < len(records))
+    e = codec.unseal(data, LIMITS.datagram_bytes)
+    assert read(e) == told and (e.life, e.number, e.re_life, e.re_number) == (9, 8, 7, 6)
+    for body in (e.body[:-1], e.body + b"x"):
+        with pytest.raises(BadMessage):
+            read(replace(e, body=body))
+
+
+def test_forged_words_are_counted_by_cause() -> None:
+    f = Heads()
+    f.run(10)
+    good = envelope(Words(NOTHING, (dead(),)), 1, 999, 0, 0)
+    strange = replace(good, number=1000, body=good.body[:DIGEST] + b"\x09" + good.body[DIGEST + 1:])
+    f.run(1, (0, api.PeerMessage(1, codec.seal(good))), (0, api.PeerMessage(1, codec.seal(strange))))
+    assert f.talks[0].dropped == {"word too old": 1, "no such verdict": 1}
+    off = Talk(Controller(settings(may_tell=True), 1), life=1)
+    off.handle(T0, [api.PeerMessage(1, codec.seal(good))])
+    assert off.dropped == {"other kind": 1} and off.known("verdicts", T0) == []
+
+
+@pytest.mark.parametrize("section, key", [
+    ({"verdict": True}, "fleet.verdict: not known"), (7, "fleet: missing"),
+    ({"bans": 1}, "fleet.bans: expected true or false")])
+def test_a_fault_in_the_section_names_its_key(section: object, key: str) -> None:
+    with pytest.raises(config.ConfigError, match=key):
+        read_fleet(section)
+    assert read_fleet({"bans": False}).verdicts
