Follow a change of a volume's busiest head within a second; explore every course of three heads

Cause, from the simulated runs: what a volume asks for is measured over 2 s, so the head of before goes on wanting its part for 2.6 s.

--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -14,6 +14,7 @@
 
 from rich.progress import track
 
+from garnetlanding.emulator.lease_model import Scope, explore
 from garnetlanding.emulator.lease_net import SECOND, Net, Run
 
 NETS = {
@@ -29,6 +30,8 @@
     "the same, a tenth is lost": replace(STEADY, shift_us=12 * SECOND, calm=False, faults=0),
 }
 
+SCOPES = [Scope(steps=5, starts=0), Scope(steps=4, starts=1), Scope(hosts=3, steps=4, starts=0)]
+
 
 def main(seeds: int) -> None:
     head = "| 12 s, 4 faults each | seeds | greatest sum of parts | states | bytes a head a second |"
@@ -44,6 +47,12 @@
     for name, net in USE.items():
         seen = [Run(replace(net, seed=seed)).run() for seed in range(5)]
         lines.append(f"| {name} | {1 / net.hosts:.2f} | {sum(s.usable for s in seen) / 5:.3f} |")
+    lines += ["", "| explored whole, 3 heads | steps | starts | states | moves | greatest sum of parts |",
+              "| --- | --- | --- | --- | --- | --- |"]
+    for scope in track(SCOPES, "every course"):
+        found = explore(scope)
+        lines.append(f"| {scope.hosts} hosts{'' if found.whole else ', given up'} | {scope.steps} "
+                     f"| {scope.starts} | {found.states} | {found.moves} | {found.most:.4f} |")
     text = "\n".join(lines) + "\n"
     print(text)
     pathlib.Path(__file__).with_name("results").joinpath("leases.md").write_text("# Leases\n\n" + text)
--- /dev/null
+++ b/garnetlanding/emulator/lease_model.py
@@ -0,0 +1,183 @@
+"""Every course that three heads' leases can take within a horizon, explored breadth first.
+
+Time goes in steps, the same for all heads (clocks that run apart are lease_net.py's). In each step each head
+hears any of the messages on their way to it, may be asked for the volume, may start anew, and speaks. What is
+said arrives in a later step, or never: the next message on the same link takes its place. So a head that
+stands still is one whose messages arrive nowhere and that hears none. Within a step heads do not touch each
+other, so one order of them stands for all. In each state the parts that the volume's heads would use if they
+sent now are added up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+from garnetlanding.decision.state import Rate
+from garnetlanding.peers.codec import Message, tag
+from garnetlanding.peers.leases import Leases, Own, Peer
+from garnetlanding.peers.limits import PeerLimits
+
+VOLUME, LIMIT = "v", 40.0
+NAME = tag(VOLUME)
+# In steps: a lease holds for three, a word is believed for three, a want lasts for one.
+LIMITS = PeerLimits(lease_us=3, drift=0.0, stale_us=3, known_us=1000, span_us=1, steps=4, remembered=4)
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """What is explored: so many steps, and at most so many starts in one history."""
+
+    heads: int = 3
+    hosts: int = 2
+    steps: int = 4
+    starts: int = 1
+    most: int = 2_000_000  # states, after which it is given up
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Before head `turn` has its turn in step `now`."""
+
+    now: int
+    turn: int
+    heads: tuple[Leases, ...]
+    mail: tuple[tuple[int, int, int, Message], ...]  # sender, receiver, when sent
+    starts: int
+
+
+@dataclass(slots=True)
+class Explored:
+    states: int = 0
+    moves: int = 0
+    most: float = 0.0  # greatest sum of parts
+    whole: bool = True  # nothing within the scope was left out
+    parts: set[tuple[float, ...]] = field(default_factory=set)
+
+
+def clone(leases: Leases) -> Leases:
+    new = object.__new__(type(leases))
+    new.__dict__.update(leases.__dict__)
+    new.peers = {who: Peer(p.life, p.number, p.heard_at, dict(p.asks)) for who, p in leases.peers.items()}
+    new.own = {}
+    for name, own in leases.own.items():
+        rate = Rate()
+        rate.rate, rate.at = own.rate.rate, own.rate.at
+        new.own[name] = replace(own, rate=rate, others=dict(own.others))
+    new._sent, new._parts = dict(leases._sent), dict(leases._parts)
+    new._held = {volume: dict(givers) for volume, givers in leases._held.items()}
+    new._given = {volume: {who: list(given) for who, given in takers.items()}
+                  for volume, takers in leases._given.items()}
+    return new
+
+
+def key(s: State) -> tuple[object, ...]:
+    """The same for states that cannot come to differ: times count from now, a message's number only by when
+    it was sent, and what has ended not at all."""
+    now = s.now
+
+    def sent(who: int, life: int, number: int) -> int | None:
+        """How long ago a head sent that message; None where an answer to it counts for nothing."""
+        at = s.heads[who].sent_at(life, number)
+        return None if at is None or at + LIMITS.lease_us <= now else now - at
+
+    heads = []
+    for h in s.heads:
+        peers = tuple((
+            who, p.life == s.heads[who].life, sent(who, p.life, p.number), now - p.heard_at,
+            tuple((share, now - at) for share, _, at in p.asks.values() if now - at <= LIMITS.stale_us))
+            for who, p in sorted(h.peers.items()) if now - p.heard_at <= LIMITS.stale_us)
+        own = tuple((o.wants(now, LIMITS), tuple(sorted(o.others))) for o in h.own.values())
+        held = tuple((who, share, until - now) for givers in h._held.values()
+                     for who, (share, until) in sorted(givers.items()) if until > now)
+        given = tuple((who, tuple(sorted((share, until - now) for share, until in lent if until > now)))
+                      for takers in h._given.values() for who, lent in sorted(takers.items())
+                      if any(until > now for _, until in lent))
+        heads.append((max(0, h.back_at - now), peers, own, held, given))
+    mail = tuple(sorted(
+        (a, b, now - at, m.life == s.heads[a].life, sent(a, m.life, m.number),
+         sent(b, m.re_life, m.re_number),
+         tuple(m.asks.values()), tuple(m.grants.values())) for a, b, at, m in s.mail))
+    return (now, s.turn, tuple(heads), mail, s.starts)
+
+
+def parts(s: State, scope: Scope) -> tuple[float, ...]:
+    """What each of the volume's heads would use if it sent now."""
+    found = []
+    for head in s.heads[:scope.hosts]:
+        looking = clone(head)
+        if NAME not in looking.own:
+            looking.own[NAME] = Own(VOLUME, scope.hosts, LIMIT)
+        found.append(looking.part(NAME, s.now))
+    return tuple(found)
+
+
+def _with(s: State, me: int, head: Leases) -> tuple[Leases, ...]:
+    return (*s.heads[:me], head, *s.heads[me + 1:])
+
+
+def moves(s: State, scope: Scope, kind: type[Leases]) -> Iterator[State]:
+    """All that the head whose turn it is may do; after the last one the next step begins."""
+    me = s.turn
+    now, turn = (s.now, me + 1) if me + 1 < scope.heads else (s.now + 1, 0)
+    mine = [m for m in s.mail if m[1] == me and m[2] < s.now]
+    for pick in range(1 << len(mine)):
+        heard = [m for i, m in enumerate(mine) if pick >> i & 1]
+        head = clone(s.heads[me])
+        for sender, _, _, message in heard:
+            head.heard(sender, message, s.now)
+        head.parts(s.now)
+        rest = tuple(m for m in s.mail if m not in heard)
+        for one, starts in _asked(s, scope, me, head, kind):
+            new, mail = _say(one, me, s.now, rest)
+            yield State(now, turn, _with(s, me, new), mail, starts)
+
+
+def _asked(s: State, scope: Scope, me: int, head: Leases, kind: type[Leases]) -> Iterator[tuple[Leases, int]]:
+    yield head, s.starts
+    if me < scope.hosts:
+        asked = clone(head)
+        asked.asked(VOLUME, scope.hosts, LIMIT, 1, s.now)
+        asked.parts(s.now)
+        yield asked, s.starts
+    if s.starts < scope.starts:
+        yield kind(LIMITS, me, scope.heads, head.life + 1, s.now), s.starts + 1
+
+
+def _say(head: Leases, me: int, now: int, mail: tuple[tuple[int, int, int, Message], ...],
+         ) -> tuple[Leases, tuple[tuple[int, int, int, Message], ...]]:
+    new = clone(head)
+    told = new.say(now)
+    number = new.sending(now)
+    fresh = [(me, who, now, Message(new.life, number, *new.last_heard(who), asks, grants))
+             for who, (asks, grants) in told.items()]
+    new.parts(now)
+    return new, (*(m for m in mail if m[0] != me or m[1] not in told), *fresh)
+
+
+def explore(scope: Scope, kind: type[Leases] = Leases) -> Explored:
+    """Ends at the first state whose parts add up to more than 1."""
+    # Heads that have run for long: what an earlier life had given has ended.
+    start = State(0, 0, tuple(kind(LIMITS, me, scope.heads, 1, -LIMITS.lease_us)
+                              for me in range(scope.heads)), (), 0)
+    found, seen, wave = Explored(), {hash(key(start))}, [start]
+    while wave:
+        following: list[State] = []
+        for state in wave:
+            sums = parts(state, scope)
+            found.parts.add(sums)
+            found.states += 1
+            found.most = max(found.most, sum(sums))
+            if found.most > 1 + 1e-9:
+                return found
+            if found.states >= scope.most:
+                found.whole = False
+                return found
+            for new in moves(state, scope, kind) if state.now < scope.steps else ():
+                found.moves += 1
+                name = hash(key(new))
+                if name not in seen:
+                    seen.add(name)
+                    following.append(new)
+        wave = following
+    return found
--- a/garnetlanding/peers/limits.py
+++ b/garnetlanding/peers/limits.py
@@ -21,7 +21,7 @@
     drift: float = 0.01  # of two clocks, the most in each second; real ones stay under a thousandth of that
     stale_us: int = 1200 * MS  # a head's word is believed for so long; not under `lease_us`
     known_us: int = 60 * SECOND  # that a volume comes through a head is remembered for so long
-    span_us: int = 2 * SECOND  # what a volume asks for is measured over this: some five requests
+    span_us: int = SECOND  # what a volume asks for is measured over this: a change of its busiest head shows
     headroom: float = 1.25  # asked for, of what was used lately
     steps: int = 250  # of a share, as it is told
     remembered: int = 64  # own messages, whose answers may still come
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from garnetlanding.emulator.lease_model import Scope, explore
 from garnetlanding.emulator.lease_net import SECOND, Net, Run, Seen
 from garnetlanding.peers import codec, leases
 from garnetlanding.peers.codec import BadMessage, Message
@@ -85,7 +86,7 @@
     """Fixed parts let it use 1 / hosts."""
     steady = Run(Net(calm=True, rest=0.0, shift_us=60 * SECOND, length_us=60 * SECOND)).run()
     moving = Run(Net(calm=True, rest=0.0, shift_us=12 * SECOND, length_us=60 * SECOND)).run()
-    assert steady.usable > 0.95 and moving.usable > 0.87
+    assert steady.usable > 0.95 and moving.usable > 0.9
     assert steady.most <= 1 + 1e-9 and moving.most <= 1 + 1e-9
 
 
@@ -310,5 +311,23 @@
     assert first_found() is not None, "no seed shows it"
 
 
+def test_no_course_of_three_heads_makes_their_parts_more_than_the_whole() -> None:
+    """Every one within four steps, and within three with a head that starts anew."""
+    found = explore(Scope(steps=4, starts=0))
+    assert found.whole and found.states > 10_000 and found.most == pytest.approx(1.0)
+    assert (1.0, 0.0) in found.parts, "some course leaves all of it to one head"
+    assert explore(Scope(steps=3)).most <= 1 + 1e-9
+
+
+@pytest.mark.parametrize("bug", [
+    "a lease counts from when it came", "a lease is twice as long at its taker",
+    "what is lent is used all the same", "a lease never ends at its taker",
+    "what is given is not counted as gone", "every head's share counts", "what was given is forgotten"])
+def test_some_course_shows_a_bug_put_in_on_purpose(bug: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    where, name, instead = BUGS[bug]
+    monkeypatch.setattr(where, name, instead)
+    assert explore(Scope(steps=4, starts=0)).most > 1.4
+
+
 def test_without_a_bug_the_same_runs_show_nothing() -> None:
     assert first_found(40) is None and leases is not None
