Play upgrades, operators' calls at SIGTERM and reloads on the lab

Need: the open hard cases of two processes of one head had no test on real processes.

Change: faults upgrade (the first process ended, killed, or standing still until it is killed), reload, move (another discovery in the head's file, then SIGHUP); a call may go to the second process.

--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -15,6 +15,7 @@
     port: int = 6379  # of a head for clients
     peer_port: int = 7946  # of a head for other heads
     ops_port: int = 7380  # of a head for operators
+    supervise_us: int = 2 * SECOND  # after which a first process that stands still is killed
     call_s: int = 2  # that an operator's call may take
     datagram_bytes: int = 2048  # read of one at most; a longer one goes on cut short
     ready_s: int = 30  # for all heads to say that they can be used
