The lab: connections that lag, drip, stand open or break; clocks set wrong; runs second by second

Need: only datagrams between heads could be struck; a run's course had to be read out of its histories by hand.

Change: a proxy for streams on each link that a fault names (a head to a brick, to its discovery, from clients): lag, trickle, freeze, reset, decided in streams.py, carried by tcp.py.

--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -222,6 +222,20 @@
         return _say(WRONG, f"lab: {problem}")
 
 
+@lab.command("report")
+@click.argument("folder", type=click.Path(exists=True))
+@click.option("--charts", is_flag=True, help="Draw answers, latency and parts as PNG beside the histories.")
+@click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
+def lab_report(folder: str, charts: bool, as_json: bool) -> int:
+    """Show one run second by second, and write it as series.csv beside its histories."""
+    from garnetlanding.lab import report
+
+    try:
+        return report.report(folder, charts, as_json)
+    except (OSError, ValueError, report.LabError) as problem:
+        return _say(WRONG, f"lab: {problem}")
+
+
 def _say(code: int, problem: str) -> int:
     click.echo(f"garnetlanding: {problem}", err=True)
     return code
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -76,7 +76,7 @@
         self.core.listed(listing)
         self.watch.hold()
         self.link: PeerLink | None = None
-        self.life = time.time_ns() // 1_000_000  # greater at each start, whatever the monotonic clock says
+        self.life = self._wall_ms()  # greater at each start, whatever the monotonic clock says
         self.history: History | None = None
         self._dropped: Counter[str] = Counter()  # messages of other heads, by cause
         self.talk: Talk | None = None
@@ -139,7 +139,7 @@
             from garnetlanding.peers.bans import Bans
 
             bans = Bans(limits, fleet.bans.records.values())
-            bans.hear(records, time.time_ns() // 1_000_000)
+            bans.hear(records, self._wall_ms())
             fleet.keep(bans)
             self.core.ban(bans.banned)
 
@@ -204,8 +204,11 @@
             return None
         from garnetlanding.ops.shared import SharedBans
 
-        return SharedBans(self.fleet, self.config.peers.limits, lambda: self.core.settings.me,
-                          lambda: time.time_ns() // 1_000_000)
+        return SharedBans(self.fleet, self.config.peers.limits, lambda: self.core.settings.me, self._wall_ms)
+
+    def _wall_ms(self) -> int:
+        history = self.config.operator.history
+        return time.time_ns() // 1_000_000 + (history.wall_s * 1000 if history else 0)
 
     def _share(self, clients: Listener) -> None:
         """Looks what the head's other process leaves to this one, and makes room for a newer one."""
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -15,6 +15,8 @@
 LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder")  # of datagrams from head to head
 BRICK_FAULTS = ("silent", "down")  # takes work and answers nothing; refuses connections
 CALLS = ("disable", "enable", "drain", "resume")  # of an operator at one head, at one time
+STREAM_FAULTS = ("lag", "trickle", "freeze", "reset")  # of connections: late, in drops, held up, torn down
+LINKS = ("brick", "discovery", "client")  # a head's connections to a brick, to its discovery, from clients
 LIES = ("lie",)  # one head's words: that every brick is dead
 
 
@@ -27,7 +29,9 @@
     until_us: int
     who: int = -1  # of a process or a brick
     brick: int = -1  # of an operator's call
+    link: str = ""  # of a fault of connections
     how: str = ""  # the first process of an upgrade ends: term, kill or stop
+    wall_s: int = 0  # a head that starts again has its wall clock wrong by so much
     newer: bool = False  # an operator's call goes to the second process of an upgrade
     sender: int = -1  # of a link; -1: every head
     receiver: int = -1
@@ -77,7 +81,7 @@
 
 def _fault(section: Section, heads: int, bricks: int, length_us: int) -> Fault:
     kind = section.one_of("kind", PROCESS_FAULTS + LINK_FAULTS + BRICK_FAULTS + CALLS + LIES + UPGRADES
-                          + RELOADS)
+                          + RELOADS + STREAM_FAULTS)
     at_us = int(section.number("at_s", 0, most=length_us / SECOND) * SECOND)
     until_us = int(section.number("until_s", 0, length_us / SECOND) * SECOND)
     if kind in CALLS + RELOADS and section.has("until_s"):
@@ -85,7 +89,9 @@
     if until_us <= at_us:
         raise ConfigError(f"key {section.name('until_s')}: not after at_s")
     who = sender = receiver = brick = -1
+    link = ""
     how = section.one_of("how", PROCESS_FAULTS) if section.has("how") else "term"
+    wall_s = int(section.number("wall_s", -1e9, 0, 1e9))
     newer = section.raw("newer") or False
     if not isinstance(newer, bool):
         raise ConfigError(f"key {section.name('newer')}: expected true or false")
@@ -95,11 +101,15 @@
             raise ConfigError(f"key {section.name('who')}: which head?")
         if kind in ("disable", "enable"):
             brick = int(section.number("brick", 0, most=bricks - 1))
+    elif kind in STREAM_FAULTS:
+        link, who = section.one_of("link", LINKS), _head(section, "who", heads)
+        if section.has("brick"):
+            brick = int(section.number("brick", 0, most=bricks - 1))
     elif kind in BRICK_FAULTS:
         who = int(section.number("brick", 0, most=bricks - 1))
     else:
         sender, receiver = _head(section, "from", heads), _head(section, "to", heads)
-    return Fault(kind, at_us, until_us, who, brick, how, newer, sender, receiver,
+    return Fault(kind, at_us, until_us, who, brick, link, how, wall_s, newer, sender, receiver,
                  section.number("share", 0, 1.0, 1.0), int(section.number("span_ms", 0, 0, 60_000) * 1000))
 
 
@@ -118,7 +128,7 @@
     listed = top.raw("fault") or []
     if not isinstance(listed, list):
         raise ConfigError("key fault: expected [[fault]] tables")
-    known = "kind at_s until_s who brick how newer from to share span_ms"
+    known = "kind at_s until_s who brick link how wall_s newer from to share span_ms"
     faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
                    for i, one in enumerate(listed))
     settings = Section(top.raw("settings") or {}, "settings").data
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -38,5 +38,5 @@
     }
 
 
-def operators_file(history: str, fleet: bool) -> str:
-    return f"[history]\nfile = {json.dumps(history)}\n" + ("[fleet]\n" if fleet else "")
+def operators_file(history: str, fleet: bool, wall_s: int = 0) -> str:
+    return f"[history]\nfile = {json.dumps(history)}\nwall_s = {wall_s}\n" + ("[fleet]\n" if fleet else "")
--- a/garnetlanding/lab/report.py
+++ b/garnetlanding/lab/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import csv
 import json
 import pathlib
 import sys
@@ -15,11 +16,12 @@
 from rich.table import Table
 
 from garnetlanding.lab import experiment as files
+from garnetlanding.lab import figures, history
 from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.run import LabError, Result
 from garnetlanding.lab.run import run as carry_out
 
-__all__ = ["LabError", "compare", "run"]
+__all__ = ["LabError", "compare", "report", "run"]
 COLUMNS = ("asked", "served", "refused", "failed", "lost", "none", "attempts", "over", "used", "parts_most",
            "sound")
 
@@ -76,3 +78,39 @@
     else:
         show(results)
     return 0
+
+
+def report(folder: str, charts: bool, as_json: bool) -> int:
+    """One run second by second; writes `series.csv` and, if asked to, charts beside its histories. Raises
+    LabError for a folder without histories, BadHistory for one that cannot be read."""
+    place = pathlib.Path(folder)
+    lines = history.read(sorted(place.glob("*.history")))
+    if not lines:
+        raise LabError(f"{folder}: no histories")
+    start = figures.began(lines)
+    rows = figures.seconds(lines, start)
+    table = [row.as_row() for row in rows]
+    if not table:
+        raise LabError(f"{folder}: nothing was answered")
+    with open(place / "series.csv", "w", newline="", encoding="utf-8") as file:
+        writer = csv.DictWriter(file, list(table[0]))
+        writer.writeheader()
+        writer.writerows(table)
+    drawn: list[pathlib.Path] = []
+    if charts:
+        from garnetlanding.lab.charts import draw
+
+        try:
+            drawn = draw(place, rows, figures.parts(lines, start))
+        except ImportError as problem:
+            raise LabError(f"charts need matplotlib: {problem}") from None
+    if as_json:
+        print(json.dumps({"seconds": table, "charts": [path.name for path in drawn]}))
+        return 0
+    shown = Table(*table[0])
+    for row in table:
+        shown.add_row(*("" if value is None else str(value) for value in row.values()))
+    Console(width=None if sys.stdout.isatty() else LIMITS.table_columns).print(shown)
+    for path in [place / "series.csv", *drawn]:
+        print(path)
+    return 0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,10 +13,11 @@
 
 from garnetlanding import cli
 from garnetlanding.config.section import ConfigError
-from garnetlanding.lab import checks, history, plan
+from garnetlanding.lab import checks, figures, history, plan
 from garnetlanding.lab.experiment import Experiment, Fault, Load, load, read
 from garnetlanding.lab.limits import SECOND
 from garnetlanding.lab.run import Interrupted, LabError, Result, run
+from garnetlanding.lab.streams import Link, Passage, Streams
 from garnetlanding.lab.weather import Weather
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -40,6 +41,7 @@
     ({"fault": [{"kind": "loss", "at_s": 1, "until_s": 2, "share": 2}]}, "key fault.0.share"),
     ({"fault": {"kind": "cut"}}, "key fault: expected"), ({"fleet": 1}, "key fleet: expected"),
     ({"fault": [{"kind": "upgrade", "who": "n1", "at_s": 1, "until_s": 2, "how": "x"}]}, "key fault.0.how"),
+    ({"fault": [{"kind": "lag", "at_s": 1, "until_s": 2}]}, "key fault.0.link"),
     ({"fault": [{"kind": "drain", "who": "n1", "at_s": 1, "until_s": 2}]}, "fault.0.until_s: drain has one"),
 ])
 def test_a_fault_in_an_experiments_file_names_its_key(change: dict[str, Any], key: str) -> None:
@@ -84,6 +86,20 @@
     assert weather.fate(0, 2, SECOND) == [0]
 
 
+def test_a_stream_fares_as_its_link_and_its_time_say() -> None:
+    faults = (
+        fault("lag", 1, 2, link="brick", who=0, brick=1, span_us=9), fault("freeze", 1, 2, link="client"),
+        fault("trickle", 0, 4, link="discovery", who=1, span_us=5), fault("reset", 3, 4, link="brick"))
+    streams = Streams(replace(CALM, faults=faults), 32)
+    at = SECOND
+    assert streams.passage(Link("brick", 0, 1), at) == Passage(9)
+    assert streams.passage(Link("brick", 0, 2), at) == streams.passage(Link("brick", 1, 1), at) == Passage()
+    assert streams.passage(Link("client", 2), at + 400_000) == Passage(600_000)
+    assert streams.passage(Link("discovery", 1), 0) == Passage(0, 32, 5)
+    assert streams.refuses(Link("brick", 2, 0), 3 * at) and not streams.refuses(Link("client", 2), 3 * at)
+    assert streams.resets() == [3 * at] and not Streams(CALM, 32).named("brick")
+
+
 def test_the_busiest_head_moves_when_it_should() -> None:
     moving = replace(CALM, load=replace(CALM.load, shift_us=SECOND, lead=1.0))
     heads = {(r.volume, r.at_us // SECOND): r.head for r in plan.draw(moving)}
@@ -149,6 +165,20 @@
     assert findings.over > 20 and any(b.startswith("limits:") for b in findings.broken)
 
 
+def test_a_runs_figures_second_by_second() -> None:
+    lines: list[dict[str, Any]] = [
+        {"t": 5 * SECOND + at, "who": who, "what": what, **more} for at, who, what, more in (
+            (0, "clients", "asked", {}), (9, "bricks", "ran", {}),
+            (10, "clients", "answer", {"outcome": "served", "took": 2000}),
+            (11, "n0", "doubted", {"servers": {"b1": 9}}),
+            (12, "bricks", "fault", {"kind": "cut", "which": -1}),
+            (2 * SECOND, "clients", "answer", {"outcome": "refused", "took": 1}))]
+    rows = [row.as_row() for row in figures.seconds(lines, figures.began(lines))]
+    assert [row["served"] for row in rows] == [1, 0, 0] and rows[2]["refused"] == 1
+    assert (rows[0]["p50_ms"], rows[0]["doubted"], rows[0]["faults"]) == (2.0, 1, "cut all")
+    assert [figures.percentile(range(0, 100_000, 1000), share) for share in (0, 0.5, 0.99)] == [0, 50, 99]
+
+
 def test_a_history_cut_short_is_read_and_a_damaged_one_is_an_error(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "n0.history"
     path.write_bytes(b'{"t":2,"what":"b"}\n{"t":1,"what":"a"}\n{"t":3,"wh')
@@ -181,6 +211,9 @@
     result = play(tmp_path, replace(CALM, load=ONE_HEAD, length_us=5 * SECOND))
     assert max(part for _, part in believed(result, 0)) > 0.9
     assert result.findings.lives == {"n0": 1, "n1": 1, "n2": 1}
+    assert cli.main(["lab", "report", str(tmp_path / "run"), "--charts", "--json"]) == 0
+    assert {path.name for path in (tmp_path / "run").iterdir()} >= {"series.csv", "answers.png", "parts.png"}
+    assert cli.main(["lab", "report", str(tmp_path)]) == 2
     with pytest.raises(LabError, match="not empty"):
         run(CALM, tmp_path / "run")
 
@@ -290,3 +323,13 @@
     assert all(line["status"] == 200 for line in result.lines if line["what"] == "called")
     outcomes = result.findings.outcomes
     assert outcomes["lost"] + outcomes["none"] + outcomes["failed"] <= lost
+
+
+def test_streams_that_stand_open_drip_or_break_cost_no_answer(tmp_path: pathlib.Path) -> None:
+    broken = (
+        fault("freeze", 1, 2.5, link="brick", who=0, brick=0), fault("reset", 3, 3.3, link="brick"),
+        fault("trickle", 1, 3, link="brick", who=1, span_us=2000), fault("reset", 1, 2, link="discovery"))
+    result = play(tmp_path, replace(CALM, length_us=5 * SECOND, faults=broken))
+    assert result.fates["connections"] > 9
+    late = result.began + 4 * SECOND
+    assert {line["brick"] for line in result.lines if line["what"] == "ran" and line["t"] > late} == {0, 1, 2}
