Stamp histories when they are written; the lab floods a head

Seen: with three lab runs at once on three cores, one of the first four said that a volume's parts add up to 1.032. Its histories: n1 leaves n0 0.032 and notes 0.468 at 7.045 s; n0 notes 0.532 at 7.018. Cause: a line had the time at which the loop's turn began. n0 was held up within its turn and heard what n1 said after it began. Ruled out: n1's giving (it notes before it sends). Change: head, bricks and clients read the clock for each line. The test fails without it.

--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -46,7 +46,7 @@
     def __init__(self, config: Config, clock: Callable[[], int] = monotonic_us,
                  read_again: Callable[[], Config] | None = None) -> None:
         """`read_again` reads and checks the whole configuration anew, for a reload."""
-        self.config, self._read_again = config, read_again
+        self.config, self._read_again, self._clock = config, read_again, clock
         limits = self.limits = config.limits
         self.scheduler = Scheduler(clock)
         self.pool = BufferPool(limits.buffer_bytes, limits.pool_keep, limits.pool_most, limits.pool_start)
@@ -102,7 +102,7 @@
             from garnetlanding.history.writer import History
 
             self.history = History(config.operator.history.file, config.name, self.life,
-                                   lambda: self.scheduler.now)
+                                   self._clock)
             self.core.observers.append(self.history)
         if config.operator.fleet and config.peers:
             from garnetlanding.peers.fleet import Fleet
--- a/garnetlanding/history/writer.py
+++ b/garnetlanding/history/writer.py
@@ -1,5 +1,8 @@
 """Writes a process's history: one JSON object a line, each with the machine's monotonic time.
 
+The time is read anew for each line, not the turn's: a process that is held up within a turn hears what others
+said after the turn began, and its lines must not seem to come before theirs.
+
 Each line is with the kernel before the next thing happens, so that SIGKILL takes nothing that was written.
 That costs a system call a request, which is why it is off in service.
 """
--- a/garnetlanding/lab/clients.py
+++ b/garnetlanding/lab/clients.py
@@ -16,7 +16,7 @@
 from garnetlanding.limits import Limits
 from garnetlanding.resp import codec
 from garnetlanding.runtime.buffers import BufferPool
-from garnetlanding.runtime.scheduler import Expired, Scheduler
+from garnetlanding.runtime.scheduler import Expired, Scheduler, monotonic_us
 from garnetlanding.runtime.stream import Stream
 
 
@@ -54,7 +54,7 @@
         return begin
 
     def _note(self, what: str, request: dict[str, Any], **more: Any) -> None:
-        line = {"t": self.scheduler.now, "who": "clients", "what": what, "id": request["id"],
+        line = {"t": monotonic_us(), "who": "clients", "what": what, "id": request["id"],
                 "head": request["head"], "volume": request["volume"], "units": request["units"], **more}
         os.write(self._history, json.dumps(line, separators=(",", ":")).encode() + b"\n")
 
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -12,7 +12,7 @@
 PROCESS_FAULTS = ("kill", "stop", "term")  # until: started again, gone on, started again
 UPGRADES = ("upgrade",)  # a second process of the head; until: the first gets the signal that `how` names
 RELOADS = ("reload", "move")  # SIGHUP at one time; move: with another discovery in the head's file
-LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder")  # of datagrams from head to head
+LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder", "flood")  # of datagrams from head to head
 BRICK_FAULTS = ("silent", "down")  # takes work and answers nothing; refuses connections
 CALLS = ("disable", "enable", "drain", "resume")  # of an operator at one head, at one time
 STREAM_FAULTS = ("lag", "trickle", "freeze", "reset")  # of connections: late, in drops, held up, torn down
--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -25,6 +25,7 @@
     turn_ms: int = 50  # that the lab's loop waits at most before it looks at its processes
     greet_us: int = 20 * MS  # between tries to connect to a head that starts
     answer_late_us: int = 500 * MS  # an answer later than this after its time counts as none
+    flood_copies: int = 250  # of each datagram: with four a second, a thousand a second on a link
     reorder_us: int = 40 * MS  # one that is overtaken comes so much later, unless the fault says how much
     brick_conns: int = 256  # that a brick takes
     stream_bytes: int = 65536  # read of a connection at once
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -22,7 +22,7 @@
 from garnetlanding.lab.weather import Weather
 from garnetlanding.lab.world import Surroundings
 from garnetlanding.ops.caller import path_of
-from garnetlanding.runtime.scheduler import Expired, Scheduler
+from garnetlanding.runtime.scheduler import Expired, Scheduler, monotonic_us
 from garnetlanding.runtime.stream import Stream
 
 SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "term": signal.SIGTERM}
@@ -81,7 +81,7 @@
         return f"{self._net}.{10 + head}"
 
     def _note(self, what: str, **more: object) -> None:
-        line = {"t": self._scheduler.now, "who": "bricks", "what": what, **more}
+        line = {"t": monotonic_us(), "who": "bricks", "what": what, **more}
         os.write(self._notes, json.dumps(line, separators=(",", ":")).encode() + b"\n")
 
     def run(self, progress: Callable[[float], None]) -> Result:
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -39,6 +39,8 @@
                     delays = [d + int(fault.span_us * draw.uniform(0.5, 1.5)) for d in delays]
                 case "double":
                     delays.append(delays[-1] + fault.span_us)
+                case "flood":
+                    delays = delays * LIMITS.flood_copies
                 case "reorder":
                     delays = [d + (fault.span_us or LIMITS.reorder_us) for d in delays]
             self.fates[fault.kind] += 1
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -401,3 +401,13 @@
     daemon.store.put(SETTINGS_KEY, SETTINGS)
     daemon.core.turn()
     assert "read/once" in daemon.core.settings.classes, "also after a reload"
+
+
+def test_a_historys_lines_have_the_time_at_which_they_are_written(tmp_path: pathlib.Path) -> None:
+    """The turn's own time would put what a held-up process hears before what others said meanwhile."""
+    file = tmp_path / "n1.history"
+    h = Head({"history": {"file": str(file)}})
+    h.time += 7 * MS
+    assert h.daemon.history
+    h.daemon.history.note("heard")
+    assert json.loads(file.read_text().splitlines()[-1])["t"] == h.time
