Tell the module what is given of a volume's part also when nobody asks for the volume any more

Cause: a volume that nothing is wanted of was dropped (Leases.parts), since 1 s is what wants are measured over after 1 s; its even part was given away, and the module, which may still hold requests of it for tokens, was told nothing. Ruled out: the order of history lines (0.2 s apart, each stamped when written).

Change: it is dropped once it has not been asked for in known_us, longer than any request lives. The test fails without it.

--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -226,7 +226,8 @@
             part = self.part(volume, now)
             if part != self._parts.get(volume):
                 self._parts[volume] = changed[own.name] = part
-            if not own.wants(now, self._limits) and part == 1 / own.hosts:
+            # What is held of it at the module outlasts what is wanted: until then it must hear what is given.
+            if now - own.rate.at > self._limits.known_us and part == 1 / own.hosts:
                 del self.own[volume]
                 self._held.pop(volume, None)
                 self._parts.pop(volume, None)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -94,6 +94,24 @@
     return [Leases(LIMITS, me, heads, 7, 0) for me in range(heads)]
 
 
+def test_the_module_hears_what_is_given_of_a_volume_that_is_asked_for_no_more() -> None:
+    """Requests that came before may be held for tokens still, and would go out on a part that is gone."""
+    one, other, third = meet()
+    start = LIMITS.lease_us * 2
+    one.asked("v", 2, 40.0, 2, start)
+    assert one.parts(start) == {"v": 0.5}
+    later = start + LIMITS.span_us + 200_000
+    assert one.parts(later) == {}
+    for now in range(later, later + 600_000, 100_000):
+        other.asked("v", 2, 40.0, 8, now)
+        talk([one, other, third], now)
+        told = one.parts(now)
+        assert told.get("v", 0.5) == one.part(TAG, now)
+        if told:
+            break
+    assert told["v"] < 0.5
+
+
 def talk(group: list[Leases], now: int, silent: tuple[int, ...] = ()) -> None:
     for sender in group:
         number = sender.sending(now)
