Tidy what verdicts, bans and the lab's streams brought

Read again as a whole. A server that was down is told from what was seen of it when it answers, in place of a flag that a query set; what other heads say of bans is merged in one place, Fleet.merge, also for a head without operators, whose listening ended for good when a reload took `peers` away; members count the volumes that are wanted, not those kept; the lab's own address parser gives way to runtime's; one Streams a run; a parameter nobody set is out, names say what they hold. Assertions as they were.

--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -131,17 +131,9 @@
 
     def _hear_bans(self, fleet: Fleet) -> None:
         """Where no operator is heard: what other heads' operators said, for as long as this process lives."""
-        limits = self.config.peers.limits if self.config.peers else None
-        if limits is None:
-            return
-        self.scheduler.call_at(self.scheduler.now + limits.look_us, lambda: self._hear_bans(fleet))
-        if records := fleet.take():
-            from garnetlanding.peers.bans import Bans
-
-            bans = Bans(limits, fleet.bans.records.values())
-            bans.hear(records, self._wall_ms())
-            fleet.keep(bans)
-            self.core.ban(bans.banned)
+        self.scheduler.call_at(self.scheduler.now + fleet.limits.look_us, lambda: self._hear_bans(fleet))
+        if fleet.merge(self._wall_ms()):
+            self.core.ban(fleet.bans.banned)
 
     def _listen(self, what: str, address: str, most: int, make: Callable[[Client], ClientMachine],
                 shared: bool = False) -> Listener:
@@ -200,11 +192,11 @@
 
     def _shared_bans(self) -> SharedBans | None:
         on = self.config.operator.fleet
-        if not (self.fleet and self.config.peers and on and on.bans):
+        if not (self.fleet and on and on.bans):
             return None
         from garnetlanding.ops.shared import SharedBans
 
-        return SharedBans(self.fleet, self.config.peers.limits, lambda: self.core.settings.me, self._wall_ms)
+        return SharedBans(self.fleet, lambda: self.core.settings.me, self._wall_ms)
 
     def _wall_ms(self) -> int:
         history = self.config.operator.history
--- a/garnetlanding/emulator/verdict_net.py
+++ b/garnetlanding/emulator/verdict_net.py
@@ -39,7 +39,6 @@
     length_us: int = 20 * SECOND
     loss: float = 0.02  # of the messages between heads
     delay_us: int = 10 * MS  # twice that at most
-    cut: tuple[int, ...] = ()  # heads that neither hear nor are heard
 
 
 @dataclass(slots=True)
@@ -100,7 +99,7 @@
                         self._send(now, me, request, tries[me, request] - 1, node)
                     case api.Tell(payload=payload, to=to):
                         self.seen.bytes += len(payload)
-                        if self.rng.random() >= self.net.loss and not {me, to} & set(self.net.cut):
+                        if self.rng.random() >= self.net.loss:
                             delay = self.rng.randrange(self.net.delay_us // 5, 2 * self.net.delay_us)
                             self._post(now + delay, to, api.PeerMessage(me, payload))
             if (fleet := self.heads[me].fleet) and now < self.net.strikes_us:
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -60,7 +60,8 @@
         self._net = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
         self._notes = os.open(folder / "bricks.history", os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
         self._began: int | None = None  # when the clients did
-        self._tcp = TcpLinks(self._scheduler, Streams(experiment, LIMITS.trickle_bytes), self._since)
+        self._streams = Streams(experiment, LIMITS.trickle_bytes)
+        self._tcp = TcpLinks(self._scheduler, self._streams, self._since)
         self._world = Surroundings(
             self._scheduler, f"{self._net}.1", experiment.heads, experiment.bricks, self._note,
             lambda head, brick, at: self._tcp.place(Link("brick", head, brick), f"{self._net}.1", at))
@@ -69,7 +70,7 @@
                             [(self._at(i), LIMITS.peer_port) for i in range(experiment.heads)],
                             [f"b{brick.number}" for brick in self._world.bricks])
         self._heads: list[Process] = []
-        self._found: dict[int, str] = {}  # discovery's address, by head
+        self._listed_at: dict[int, str] = {}  # discovery's address, by head
         self._newer: dict[int, Process] = {}  # second processes, by head
         self._older: list[Process] = []  # first ones whose heads go on in the second
         self._clients: Process | None = None
@@ -93,7 +94,7 @@
             self._links.began = self._began = began
             for fault in e.faults:
                 self._plan_fault(fault, began)
-            for when in Streams(e, LIMITS.trickle_bytes).resets():
+            for when in self._streams.resets():
                 self._scheduler.call_at(began + when, self._tcp.reset)
             self._start_clients(requests, began)
             last = began + e.length_us + e.load.wait_us + LIMITS.last_s * SECOND
@@ -130,10 +131,10 @@
 
     def _discovery(self, me: int) -> str:
         """Where a head finds it: one address for all its processes."""
-        if me not in self._found:
-            self._found[me] = self._tcp.place(Link("discovery", me), f"{self._net}.1",
+        if me not in self._listed_at:
+            self._listed_at[me] = self._tcp.place(Link("discovery", me), f"{self._net}.1",
                                               self._world.discoveries[me].address)
-        return self._found[me]
+        return self._listed_at[me]
 
     def _launch(self, name: str) -> Process:
         files = self._folder / f"{name}.json", self._folder / f"{name}.toml"
--- a/garnetlanding/lab/tcp.py
+++ b/garnetlanding/lab/tcp.py
@@ -9,15 +9,11 @@
 from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.streams import Link, Streams
 from garnetlanding.runtime.scheduler import READ, WRITE, Scheduler
+from garnetlanding.runtime.stream import parse_address
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: no time to say goodbye
 
 
-def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 class Pair:
     """One connection and its continuation."""
 
@@ -53,7 +49,7 @@
         sock.listen(LIMITS.brick_conns)
         self._listeners.append(sock)
         self._pairs[link] = set()
-        self._scheduler.spawn(lambda: self._accept(link, sock, address(target)))
+        self._scheduler.spawn(lambda: self._accept(link, sock, parse_address(target)))
         return "{}:{}".format(*sock.getsockname())
 
     def reset(self) -> None:
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -22,7 +22,8 @@
     def lies(self, sender: int, now: int) -> bool:
         """Whether that head's words are false at that time."""
         false = any(f.kind == "lie" and f.who == sender and f.at_us <= now < f.until_us for f in self._faults)
-        self.fates["lie"] += false
+        if false:
+            self.fates["lie"] += 1
         return false
 
     def fate(self, sender: int, receiver: int, now: int) -> list[int]:
--- a/garnetlanding/ops/shared.py
+++ b/garnetlanding/ops/shared.py
@@ -12,16 +12,14 @@
 from garnetlanding.ops.state import OpsState
 from garnetlanding.peers.bans import BanError, Bans, Record
 from garnetlanding.peers.fleet import Fleet
-from garnetlanding.peers.limits import PeerLimits
 
 log = logging.getLogger(__name__)
 
 
 class SharedBans:
-    def __init__(self, fleet: Fleet, limits: PeerLimits, me: Callable[[], int],
-                 wall_ms: Callable[[], int]) -> None:
+    def __init__(self, fleet: Fleet, me: Callable[[], int], wall_ms: Callable[[], int]) -> None:
         """`me`: this head's number."""
-        self._fleet, self._limits, self._me, self._wall_ms = fleet, limits, me, wall_ms
+        self._fleet, self._me, self._wall_ms = fleet, me, wall_ms
 
     def take(self) -> list[Record]:
         return self._fleet.take()
@@ -48,7 +46,7 @@
     def table(self, state: OpsState) -> Bans:
         """The records of a state. What was said while bans were this head's alone, or by an older process,
         has none yet: it counts as said by it just now."""
-        bans = Bans(self._limits, (Record(*record) for record in state.records))
+        bans = Bans(self._fleet.limits, (Record(*record) for record in state.records))
         for brick in sorted(state.banned ^ bans.banned):
             bans.say(brick, brick in state.banned, self._me(), self._wall_ms())
         return bans
--- a/garnetlanding/peers/fleet.py
+++ b/garnetlanding/peers/fleet.py
@@ -20,7 +20,7 @@
     def __init__(self, limits: PeerLimits, verdicts: bool = True, bans: bool = True,
                  note: Callable[..., None] | None = None) -> None:
         """Of `verdicts` and `bans`, what is off is neither told nor heard. `note` writes a history's line."""
-        self._limits, self._with = limits, (verdicts, bans)
+        self.limits, self._verdicts_on, self._bans_on = limits, verdicts, bans
         self.sightings, self.verdicts = Sightings(limits), Verdicts(limits)
         self.bans = Bans(limits)
         self._digests: dict[int, tuple[int, bytes]] = {}  # of each head: its life, and its table as last told
@@ -40,16 +40,24 @@
         heard, self._heard = list(self._heard.values()), {}
         return heard
 
+    def merge(self, wall_ms: int) -> bool:
+        """Takes up what others have told, in memory alone; whether anything was news."""
+        bans = Bans(self.limits, self.bans.records.values())
+        news, _ = bans.hear(self.take(), wall_ms)
+        if news:
+            self.keep(bans)
+        return bool(news)
+
     def heard(self, sender: int, e: Envelope, sent_at: int | None, now: int) -> Counter[str]:
         """Raises BadMessage. Gives back what was dropped, by cause."""
         words = read(e)
         self._digests[sender] = e.life, words.digest
-        for record in words.records if self._with[1] else ():
+        for record in words.records if self._bans_on else ():
             known = [r.rank for table in (self.bans.records, self._heard) if (r := table.get(record.server))]
             if record.rank > max(known, default=(-1, 0, False)) and (
-                    record.server in self._heard or len(self._heard) < self._limits.bans):
+                    record.server in self._heard or len(self._heard) < self.limits.bans):
                 self._heard[record.server] = record
-        evidence = words.evidence if self._with[0] else ()
+        evidence = words.evidence if self._verdicts_on else ()
         return self.verdicts.heard(sender, evidence, sent_at, now, self.sightings)
 
     def hearsay(self, now: int) -> api.Hearsay | None:
@@ -66,7 +74,7 @@
             tightest_us: int) -> list[tuple[int, Envelope]]:
         """One message to each of these heads: all of the evidence that one datagram holds, and records where
         its table differs. `heads`: life and number of the last message heard from each."""
-        seen = self.sightings.evidence(now, tightest_us) if self._with[0] else []
+        seen = self.sightings.evidence(now, tightest_us) if self._verdicts_on else []
         if self._note and seen:
             self._note("seen", servers={node: [e.kind.name.lower(), now - e.age_ms * MS] for node, e in seen})
         evidence = [e for _, e in seen]
@@ -76,7 +84,7 @@
             same = self._digests.get(who, (its_life, NOTHING)) == (its_life, self.bans.digest)
             turn = self._turn[who] % max(1, len(table))
             records = [] if same else table[turn:] + table[:turn]
-            some, more = fit(evidence, records, self._limits.datagram_bytes)
+            some, more = fit(evidence, records, self.limits.datagram_bytes)
             self._turn[who] += more
             words = Words(self.bans.digest, tuple(evidence[:some]), tuple(records[:more]))
             told.append((who, envelope(words, life, number, its_life, its_number)))
--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -273,8 +273,9 @@
 
     def members(self, now: int) -> list[dict[str, object]]:
         """Each head of the tier: which life of it was heard last, and how long ago."""
+        wanted = sum(own.wants(now, self._limits) > 0 for own in self.own.values())
         return [{"head": who, "me": who == self.me,
                  "life": self.life if who == self.me else peer.life if peer else None,
                  "heard_ms": 0 if who == self.me else (now - peer.heard_at) // 1000 if peer else None,
-                 "asks": len(self.own) if who == self.me else len(peer.asks) if peer else 0}
+                 "asks": wanted if who == self.me else len(peer.asks) if peer else 0}
                 for who in range(self.heads) for peer in [self.peers.get(who)]]
--- a/garnetlanding/peers/sightings.py
+++ b/garnetlanding/peers/sightings.py
@@ -34,8 +34,7 @@
     full_at: int = NEVER
     answers: int = 0
     latency: float = 0.0  # mean, of served ones
-    was_down: bool = False
-    back_at: int = NEVER
+    back_at: int = NEVER  # answered again after it was dead or silent
 
     def proof_at(self, kind: Kind) -> int:
         """The last moment at which this head saw the contrary."""
@@ -85,10 +84,10 @@
             self.names.pop(tag(node), None)
 
     def _ended(self, sight: Sight, e: api.Result, now: int, tightest_us: int) -> None:
+        if e.outcome in SPOKE and (was := self._verdict(sight, now, tightest_us)):
+            sight.back_at = now if was[0] in (Kind.DEAD, Kind.SILENT) else sight.back_at
         sight.out.pop(e.request, None)
         if e.outcome in SPOKE:
-            if sight.was_down:
-                sight.was_down, sight.back_at = False, now
             sight.heard_at, sight.refused, sight.unheard = now, 0, 0
         match e.outcome:
             case Outcome.SERVED:
@@ -110,7 +109,6 @@
         for node, sight in self.servers.items():
             if seen := self._verdict(sight, now, tightest_us):
                 kind, count, at = seen
-                sight.was_down = sight.was_down or kind in (Kind.DEAD, Kind.SILENT)
                 if now - at <= self._limits.word_us:
                     age = -(-(now - at) // 1000)
                     found.append((node, Evidence(kind, tag(node), life_of(sight.entry, now), count, age)))
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -15,6 +15,7 @@
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.control import Controller
 from garnetlanding.decision.interface import Outcome
+from garnetlanding.emulator import verdict_net
 from garnetlanding.http.head import HttpError
 from garnetlanding.ops.file import StateFile
 from garnetlanding.ops.shared import SharedBans
@@ -240,7 +241,7 @@
 
 
 def shared(fleet: Fleet, me: int = 0) -> SharedBans:
-    return SharedBans(fleet, LIMITS, lambda: me, lambda: 1000)
+    return SharedBans(fleet, lambda: me, lambda: 1000)
 
 
 def test_bans_are_kept_on_disk_with_their_versions(tmp_path: pathlib.Path) -> None:
@@ -301,3 +302,10 @@
     with pytest.raises(config.ConfigError, match=key):
         read_fleet(section)
     assert read_fleet({"bans": False}).verdicts
+
+
+def test_a_fleet_before_a_silent_server_doubts_no_healthy_one_and_plays_the_same_each_time() -> None:
+    net = verdict_net.Net(length_us=9 * SECOND)
+    one, two = verdict_net.Run(net).run(), verdict_net.Run(net).run()
+    assert one == two and one.sends and not one.doubts
+    assert verdict_net.Run(replace(net, told=False)).run().bytes == 0 < one.bytes
