Prove membership and shared budgets on processes that join, leave, stall and split

Found on the way by clock-steps: a head whose wall clock was a week behind refused every ban, because versions more than an hour ahead of its own clock were dropped (Bans.hear). What that rule protects from, a version nobody can outbid, needs no clock: a fixed bound, and past it the highest known plus a step. Test: a head whose clock is behind takes bans.

The lab: wall clocks that step while a process runs, heads that come, go or have a twin, bricks that come back cold. A head that starts slowly is excused until its own history says it is up, in place of a fixed 1.5 s.

--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -129,6 +129,8 @@
         if self.fleet and not config.ops:
             self._hear_bans(self.fleet)
         self._place_link()
+        if self.history:
+            self.history.note("up")
 
     def _start_fleet(self, on: FleetSetup, peers: PeerSetup) -> None:
         from garnetlanding.peers.fleet import Fleet
@@ -151,7 +153,7 @@
     def _hear_bans(self, fleet: Fleet) -> None:
         """Where no operator is heard: what other heads' operators said, for as long as this process lives."""
         self.scheduler.call_at(self.scheduler.now + fleet.limits.look_us, lambda: self._hear_bans(fleet))
-        if fleet.merge(self._wall_ms()):
+        if fleet.merge():
             self.core.ban(fleet.bans.banned)
 
     def _listen(self, what: str, address: str, most: int, make: Callable[[Client], ClientMachine],
@@ -219,7 +221,7 @@
 
     def _wall_ms(self) -> int:
         history = self.config.operator.history
-        return time.time_ns() // 1_000_000 + (history.wall_s * 1000 if history else 0)
+        return time.time_ns() // 1_000_000 + (history.wall_s() * 1000 if history else 0)
 
     def _share(self, clients: Listener) -> None:
         """Looks what the head's other process leaves to this one, and makes room for a newer one."""
--- /dev/null
+++ b/garnetlanding/lab/fleet_checks.py
@@ -0,0 +1,65 @@
+"""What must hold of heads that find each other, and of budgets that all share: from histories. No I/O."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+
+from garnetlanding.lab.experiment import Experiment
+from garnetlanding.lab.findings import Findings
+from garnetlanding.lab.heads import SETTINGS, above
+from garnetlanding.lab.history import Line
+from garnetlanding.lab.limits import LIMITS
+
+
+def heads_found(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """Even parts of what all share never add up to more than the whole, those of dead heads counted on. In
+    the end all that run know the same heads, and none that has left; of two of one number one uses none."""
+    if not experiment.group:
+        return
+    even: dict[str, float] = {}
+    known: dict[str, set[int]] = {}
+    end = max((line["t"] for line in lines if line["who"] == "clients"), default=0)
+    for line in lines:
+        if line["t"] > end:
+            break  # the lab ends all of them
+        if line["what"] == "start":
+            even[line["who"]] = 0.0
+        elif line["what"] == "heads":
+            even[line["who"]], known[line["who"]] = line["even"], set(line["entitled"])
+            found.evens_most = max(found.evens_most, sum(even.values()))
+    if found.evens_most > 1 + LIMITS.parts_slack:
+        found.broken.append(f"heads: even parts add up to {found.evens_most:.3f}")
+    left = {f.who for f in experiment.faults if f.kind == "leave"}
+    twins = {f.who: f.alias for f in experiment.faults if f.kind == "twin"}
+    here = set(range(experiment.heads)) - left - set(twins)
+    for head, other in twins.items():
+        if even[f"n{head}"] and even[f"n{other}"]:
+            found.broken.append(f"heads: n{head} and n{other} both use the part of one number")
+    for head in sorted(here):
+        if known.get(f"n{head}") != here:
+            found.broken.append(f"heads: n{head} knows {sorted(known.get(f'n{head}', ()))} at the end, "
+                                f"there are {sorted(here)}")
+
+
+def budgets_held(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """What ran at a brick that had just come back, in any window, over all heads: no more than it bears."""
+    plan = above(SETTINGS, experiment.settings)
+    bears, window = plan["FamilyInfo"]["ColdBears"], plan["Rules"]["FallUs"] - LIMITS.send_us
+    cold: dict[int, int] = {}  # by brick: until when
+    recent: dict[int, deque[int]] = defaultdict(deque)
+    down: dict[int, bool] = {}
+    for line in lines:
+        if line["what"] == "fault" and line["kind"] == "down":
+            down[line["which"]] = any(f.kind == "restart" and f.who == line["which"]
+                                      for f in experiment.faults)
+        elif line["what"] == "fault" and line["kind"] == "up" and down.get(line["which"]):
+            cold[line["which"]] = line["t"] + plan["Rules"]["ColdUs"]
+        elif cold and line["what"] == "ran" and cold.get(line["brick"], 0) > line["t"]:
+            times = recent[line["brick"]]
+            times.append(line["t"])
+            while times[0] <= line["t"] - window:
+                times.popleft()
+            found.cold_most = max(found.cold_most, len(times) * experiment.load.units / bears)
+    # Where nothing is learnt of a brick's usual load, what it bears in any case is all that it may be sent.
+    if plan["Rules"]["FallMultiple"] < LIMITS.parts_slack and found.cold_most > 1:
+        found.broken.append(f"budgets: a cold brick was sent {found.cold_most:.2f} of what it bears")
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -28,7 +28,8 @@
 
 def configuration(experiment: Experiment, me: int, listen: str, ops: str, discovery: str, peer_listen: str,
                   peers: list[str]) -> dict[str, Any]:
-    settings = above(SETTINGS, experiment.settings) | {"Balancers": experiment.heads, "Me": me}
+    number = next((f.alias for f in experiment.faults if f.kind == "twin" and f.who == me), me)
+    settings = above(SETTINGS, experiment.settings) | {"Balancers": experiment.heads, "Me": number}
     return {
         "name": f"n{me}", "listen": listen, "ops": ops, "discovery": discovery,
         "seed": f"{experiment.seed + me:x}",
@@ -38,5 +39,13 @@
     }
 
 
-def operators_file(history: str, fleet: bool, wall_s: int = 0) -> str:
-    return f"[history]\nfile = {json.dumps(history)}\nwall_s = {wall_s}\n" + ("[fleet]\n" if fleet else "")
+def operators_file(experiment: Experiment, history: str, wall: str, seeds: list[str],
+                   routes: dict[str, str]) -> str:
+    """`wall`: a file that says how far the head's wall clock is off."""
+    lines = ["[history]", f"file = {json.dumps(history)}", f"wall_file = {json.dumps(wall)}"]
+    if experiment.fleet:
+        lines += ["[fleet]", f"budgets = {json.dumps(experiment.budgets)}"]
+    if experiment.group:
+        lines += [f"seeds = {json.dumps(seeds)}", "[fleet.routes]"]
+        lines += [f"{json.dumps(at)} = {json.dumps(through)}" for at, through in routes.items()]
+    return "\n".join(lines) + "\n"
--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -34,6 +34,7 @@
     beat_us: int = 2 * SECOND  # between discovery's empty lines
     send_us: int = 100 * MS  # from a head's decision to its brick, on a loaded machine
     process_us: int = 1500 * MS  # that a process takes to end or start at most, on a loaded machine
+    twin_us: int = 3 * SECOND  # start, a word there and back, and the leases given meanwhile
     parts_slack: float = 0.001  # of a sum of parts: histories round
     line_shown: int = 200  # characters of a log's line
     broken_shown: int = 20  # rules broken, on the screen; all are in the result
--- a/garnetlanding/lab/processes.py
+++ b/garnetlanding/lab/processes.py
@@ -16,11 +16,13 @@
 class Process:
     """One process; its output goes to a file, to which a restart adds."""
 
-    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
-        """Beside the log, `tmp` is the folder in which it keeps what outlasts a process."""
+    def __init__(self, arguments: list[str], log: pathlib.Path, begins: bool = True) -> None:
+        """Beside the log, `tmp` is the folder in which it keeps what outlasts a process. Not `begins`: it is
+        started later."""
         self._arguments, self._log = arguments, log
         self._child: subprocess.Popen[bytes] | None = None
-        self.start()
+        if begins:
+            self.start()
 
     def start(self) -> None:
         self.end()
--- a/garnetlanding/lab/world.py
+++ b/garnetlanding/lab/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -65,6 +66,14 @@
         self._scheduler = scheduler
         scheduler.spawn(self._beat)
 
+    def started(self, brick: LabBrick) -> None:
+        """It comes back as a new process: the list tells when that began, and it is cold."""
+        brick.rise()
+        for discovery in [*self.discoveries, self.spare]:
+            box = discovery.boxes[brick.number]
+            box.extra = {"startedAtMs": time.time_ns() // 1_000_000}
+            discovery.tell(box)
+
     def _beat(self) -> None:
         while True:
             self._scheduler.sleep(LIMITS.beat_us)
--- a/garnetlanding/ops/shared.py
+++ b/garnetlanding/ops/shared.py
@@ -34,7 +34,7 @@
 
     def hear(self, state: OpsState, records: list[Record]) -> OpsState:
         bans = self.table(state)
-        news, bad = bans.hear(records, self._wall_ms())
+        news, bad = bans.hear(records)
         if news or bad:
             log.info("bans heard", extra={"kv": {"count": len(news), "dropped": bad}})
         return self._kept(state, bans)
--- a/garnetlanding/peers/bans.py
+++ b/garnetlanding/peers/bans.py
@@ -54,22 +54,26 @@
             self._digest = blake2b(text.encode(), digest_size=DIGEST).digest() if text else NOTHING
         return self._digest
 
+    @property
+    def _highest(self) -> int:
+        return max((r.version for r in self.records.values()), default=0)
+
     def say(self, server: str, out: bool, by: int, wall_ms: int) -> Record:
         """An operator's word here: later than any that this head knows of. Raises BanError."""
         if len(server.encode()) > self._limits.ban_name:
             raise BanError(f"name of more than {self._limits.ban_name} bytes")
-        highest = max((r.version for r in self.records.values()), default=0)
-        record = Record(server, max(wall_ms, highest + 1), by, out)
+        record = Record(server, max(wall_ms, self._highest + 1), by, out)
         if not self._take(record):
             raise BanError(f"{self._limits.bans} servers are out already")
         return record
 
-    def hear(self, records: Iterable[Record], wall_ms: int) -> tuple[list[Record], int]:
-        """Others' words: those that were news, and how many could not be taken."""
+    def hear(self, records: Iterable[Record]) -> tuple[list[Record], int]:
+        """Others' words: those that were news, and how many could not be taken. This head's own clock says
+        nothing against a version: one that is behind would keep every ban from it."""
         news, bad = [], 0
         for record in records:
             known = self.records.get(record.server)
-            if record.version > wall_ms + self._limits.ban_ahead_ms:
+            if record.version > max(self._limits.ban_version, self._highest + self._limits.ban_ahead):
                 bad += 1
             elif known is None or record.rank > known.rank:
                 if self._take(record):
--- a/garnetlanding/peers/fleet.py
+++ b/garnetlanding/peers/fleet.py
@@ -40,10 +40,10 @@
         heard, self._heard = list(self._heard.values()), {}
         return heard
 
-    def merge(self, wall_ms: int) -> bool:
+    def merge(self) -> bool:
         """Takes up what others have told, in memory alone; whether anything was news."""
         bans = Bans(self.limits, self.bans.records.values())
-        news, _ = bans.hear(self.take(), wall_ms)
+        news, _ = bans.hear(self.take())
         if news:
             self.keep(bans)
         return bool(news)
--- a/garnetlanding/peers/group.py
+++ b/garnetlanding/peers/group.py
@@ -35,11 +35,19 @@
         told = roll.read(e)
         before = self.members.digest
         self.members.learn(told.records)
-        if self._note and self.members.digest != before:
-            self._note("heads", entitled=sorted(self.members.entitled), joined=self.members.joined,
-                       lives={str(r.head): r.life for r in self.members.records.values()})
+        if self.members.digest != before:
+            self._say_so()
         return told
 
+    def leave(self) -> None:
+        """This head's last word."""
+        self.members.leave()
+        self._say_so()
+
+    def _say_so(self) -> None:
+        if self._note:
+            self._note("heads", entitled=sorted(self.members.entitled), even=self.members.even)
+
     def heard(self, sender: int, told: roll.Roll, now: int) -> None:
         """A head's own, new word."""
         joined = self.members.joined
@@ -56,8 +64,7 @@
     def _look(self, before: bool) -> None:
         if self.members.joined and not before:
             log.info("joined", extra={"kv": {"heads": len(self.members.entitled)}})
-            if self._note:
-                self._note("joined", entitled=sorted(self.members.entitled))
+            self._say_so()
 
     def say(self, heads: dict[int, tuple[int, int]], life: int, number: int) -> list[tuple[int, Envelope]]:
         """One message to each. `heads`: life and number of the last message heard from each."""
@@ -70,5 +77,4 @@
 
     def say_out(self, why: str) -> None:
         log.warning("stands back", extra={"kv": {"why": why}})
-        if self._note:
-            self._note("out", why=why)
+        self._say_so()
--- a/garnetlanding/peers/limits.py
+++ b/garnetlanding/peers/limits.py
@@ -52,6 +52,7 @@
     # Bans of operators, for all heads.
     bans: int = 256  # records kept, of servers out and of those put back
     ban_name: int = 180  # bytes of a server's name: a record fits into a datagram
-    ban_ahead_ms: int = 3_600_000  # a version further ahead of the wall clock could never be outbid
+    ban_version: int = 1 << 47  # milliseconds up to the year 6429; the form holds twice that
+    ban_ahead: int = 3_600_000  # above it, so far past the highest known: each can still be outbid
     look_us: int = 250 * MS  # between looks whether other heads have said something
     open_retry_us: int = SECOND  # between tries to have the address, while an older process has it
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -59,7 +59,7 @@
         """This head ends: it uses nothing from now on, and tells every other where the group was found."""
         self.retire(now)
         if self.group and self.leases:
-            self.group.members.leave()
+            self.group.leave()
             heads = {who: self.leases.last_heard(who) for who in self.leases.group}
             for who, e in self.group.say(heads, self.life, self.leases.sending(now)):
                 tell(codec.seal(e), who)
@@ -157,7 +157,8 @@
             self._believed("parts", leases.believed() | parts, leases.look_at)
         shares = self.budgets.shares(now, self.s.hosts) if self.budgets else None
         if shares is not None and self._believed and self.budgets:
-            self._believed("shares", shares, self.budgets.leases.look_at)
+            budgets = self.budgets.leases
+            self._believed("shares", budgets.believed(), budgets.look_at)
         return api.Parts(parts, shares) if parts or shares is not None else None
 
     @property
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -39,6 +39,8 @@
     ({"fault": [{"kind": "cut", "at_s": 2, "until_s": 2}]}, "key fault.0.until_s: not after"),
     ({"fault": [{"kind": "cut", "at_s": 9, "until_s": 10}]}, "key fault.0.at_s"),
     ({"fault": [{"kind": "loss", "at_s": 1, "until_s": 2, "share": 2}]}, "key fault.0.share"),
+    ({"fleet": False, "group": 2}, "key group: only with"), ({"budgets": 1}, "key budgets: expected"),
+    ({"fault": [{"kind": "join", "who": "n1", "at_s": 1, "until_s": 2}]}, "fault.0.until_s: join has one"),
     ({"fault": {"kind": "cut"}}, "key fault: expected"), ({"fleet": 1}, "key fleet: expected"),
     ({"fault": [{"kind": "upgrade", "who": "n1", "at_s": 1, "until_s": 2, "how": "x"}]}, "key fault.0.how"),
     ({"fault": [{"kind": "lag", "at_s": 1, "until_s": 2}]}, "key fault.0.link"),
@@ -144,6 +146,10 @@
     lost = answered(requests, "lost")
     assert len(checks.check(slow, requests, lost).broken) >= len(requests)
     killed = replace(slow, faults=tuple(fault("kill", 0, 4, who=n) for n in range(3)))
+    soon = replace(slow, faults=tuple(fault("kill", 0, 1, who=n) for n in range(3)))
+    again = [{"t": SECOND + 9, "who": f"n{n}", "what": "up"} for n in range(3)]
+    assert [b for b in checks.check(soon, requests, lost + again).broken if "one answer" in b], "came back"
+    assert not [b for b in checks.check(soon, requests, lost).broken if "one answer" in b], "has not yet"
     assert not [b for b in checks.check(killed, requests, lost).broken if "one answer" in b]
 
 
@@ -325,6 +331,29 @@
     assert outcomes["lost"] + outcomes["none"] + outcomes["failed"] <= lost
 
 
+@pytest.mark.parametrize("name", ["split-group", "twin", "clock-steps"])
+def test_processes_that_come_and_go_at_sides_that_do_not_hear_each_other(name: str,
+                                                                        tmp_path: pathlib.Path) -> None:
+    """Heads found from seeds join on both sides of a cut; a second process has a head's number; wall clocks
+    step around bans."""
+    result = play(tmp_path, load(str(ROOT / "experiments" / f"{name}.toml")))
+    evens = [line for line in result.lines if line["what"] == "heads" and line["even"]]
+    if name == "split-group":
+        first = min(line["t"] for line in evens if line["who"] in ("n4", "n5"))
+        assert (first - result.began) / SECOND > 10, "neither uses a part before the cut has healed"
+    if name == "twin":
+        parts = [line["parts"] for line in result.lines
+                 if line["what"] == "parts" and line["who"] == "n1" and line["parts"]]
+        assert any(max(part.values()) > 0 for part in parts) and not any(parts[-1].values()), "stood back"
+
+
+def test_a_cold_brick_is_sent_no_more_than_it_bears_by_all_heads(tmp_path: pathlib.Path) -> None:
+    result = play(tmp_path, load(str(ROOT / "experiments" / "cold-shared.toml")))
+    assert 0.7 < result.findings.cold_most <= 1.0, "and one head has most of it: an even part is a third"
+    shares = [line["parts"].get("cold:b0", 0) for line in result.lines if line["what"] == "shares"]
+    assert max(shares) > 0.6
+
+
 def test_streams_that_stand_open_drip_or_break_cost_no_answer(tmp_path: pathlib.Path) -> None:
     broken = (
         fault("freeze", 1, 2.5, link="brick", who=0, brick=0), fault("reset", 3, 3.3, link="brick"),
