Share connections at a server among heads; explore membership whole; credit of a head that repeats

Places move by leases; one that is in use is never given, and one that was left comes back after the longest attempt. The driver asks; without a place an attempt could not connect, as with its own bound, and the module decides what follows.

--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -8,10 +8,11 @@
 import argparse
 import pathlib
 from collections.abc import Iterator
+from dataclasses import replace
 
 from garnetlanding.emulator.verdict_net import Net, Run, until_left
 
-HEADS = (4, 8, 16, 32, 64)
+HEADS = (4, 8, 16, 32, 64, 100)
 RESULTS = pathlib.Path(__file__).parent / "results" / "verdicts.md"
 
 
@@ -19,19 +20,21 @@
     for heads in HEADS:
         cells: list[list[float]] = []
         for told in (False, True):
-            sends, left, served, size, wrong = 0, 0, 0.0, 0, 0
+            sends, left, served, size, wrong, zone = 0, 0, 0.0, 0, 0, 0.0
             for seed in range(1, seeds + 1):
                 net = Net(seed=seed, heads=heads, told=told)
                 seen = Run(net).run()
                 sends, left = sends + len(seen.sends), left + until_left(net, seen)
                 served, size = served + seen.served / seen.asked, size + seen.bytes
                 wrong += len(seen.doubts)
+                asked, well = Run(replace(net, struck=net.nodes // 3, how="refuses")).run().after
+                zone += well / asked
             cells.append([sends / seeds, left / seeds / 1e6, served / seeds,
-                          size / seeds / heads / (net.length_us / 1e6), wrong])
+                          size / seeds / heads / (net.length_us / 1e6), wrong, zone / seeds])
         without, told_ = cells
         yield [str(heads), f"{without[0]:.0f}", f"{told_[0]:.0f}", f"{told_[0] / without[0]:.2f}",
                f"{without[1]:.1f}", f"{told_[1]:.1f}", f"{told_[2] / without[2]:.4f}", f"{told_[3]:.0f}",
-               f"{told_[4]:.0f}"]
+               f"{told_[4]:.0f}", f"{without[5]:.3f}", f"{told_[5]:.3f}"]
 
 
 def main() -> None:
@@ -39,7 +42,8 @@
     parser.add_argument("--seeds", type=int, default=5)
     seeds = parser.parse_args().seeds
     names = ("heads", "sent to it, untold", "told", "ratio", "s until under a tenth, untold", "told",
-             "served, told / untold", "bytes a head a second", "healthy servers doubted")
+             "served, told / untold", "bytes a head a second", "healthy servers doubted",
+             "served in the 10 s after a third of the servers is lost, untold", "told")
     lines = ["| " + " | ".join(names) + " |", "| --- " * len(names) + "|"]
     lines += ["| " + " | ".join(row) + " |" for row in rows(seeds)]
     RESULTS.write_text(f"""# Verdicts: a server falls silent for 8 s
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -148,7 +148,18 @@
         if on.budgets:
             from garnetlanding.peers.budgets import Budgets
 
-            self._budgets = lambda s, life, now: Budgets(peers.limits, s, life, now)
+            longest = self._longest_us if on.server_connections else 0
+            self._budgets = lambda s, life, now: Budgets(peers.limits, s, life, now, longest)
+        if on.server_connections:
+            from garnetlanding.peers.places import Places
+
+            self.bricks.places = Places(on.server_connections, self._longest_us, lambda: self.scheduler.now,
+                                        lambda: self.talk.shared() if self.talk else None)
+
+    @property
+    def _longest_us(self) -> int:
+        """An attempt, with the sweep after it, lasts no longer."""
+        return self.limits.sweep_us + max(c.deadline_us for c in self.core.settings.classes.values())
 
     def _hear_bans(self, fleet: Fleet) -> None:
         """Where no operator is heard: what other heads' operators said, for as long as this process lives."""
--- a/garnetlanding/emulator/group_net.py
+++ b/garnetlanding/emulator/group_net.py
@@ -6,7 +6,7 @@
 
 import heapq
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from garnetlanding.peers import codec
 from garnetlanding.peers.codec import Envelope
@@ -30,6 +30,7 @@
     loss: float = 0.1
     delay_us: int = 400 * MS  # at most
     events: int = 12  # joins, ends, crashes and cuts, drawn
+    all_at_once: bool = False  # every head starts at the beginning
     calm_us: int = 10 * SECOND  # at the end: nothing more happens, nothing is lost
 
 
@@ -48,6 +49,7 @@
     least_end: float = 1.0  # of the sum, once all is calm
     agreed: bool = False  # all that run have one table at the end
     joins: int = 0
+    known_us: list[int] = field(default_factory=list)  # until all that ran knew of a start
     bytes: int = 0
 
 
@@ -62,9 +64,10 @@
         self.now, self.seen, self._lives, self._count = 0, GroupSeen(), 0, 0
         self.nodes: dict[int, Node] = {}
         self._crashed: set[int] = set()
+        self._new: list[tuple[int, int, int]] = []  # starts that not all know of: when, head, life
         self._mail: list[tuple[int, int, int, int, bytes]] = []
         self._cut: dict[tuple[int, int], int] = {}
-        for head in range(net.seeds):
+        for head in range(net.heads if net.all_at_once else net.seeds):
             self._start(head)
         last = net.length_us - net.calm_us
         self._events = sorted((self.rng.randrange(max(1, last)), self.rng.randrange(1 << 30))
@@ -78,6 +81,7 @@
         members = Members(self.limits, head, life, address(head), seeds, self.now)
         self.nodes[head] = Node(Group(self.limits, members), Turns(self.limits, head), life)
         self.seen.joins += 1
+        self._new.append((self.now, head, members.records[head].life))
 
     def run(self) -> GroupSeen:
         net = self.net
@@ -94,6 +98,7 @@
                 for head in sorted(self._crashed):
                     next(iter(self.nodes.values())).group.members.forget(head)
             if self.now % self.limits.say_every_us < net.step_us:
+                self._look_who_knows()
                 for head in self.rng.sample(sorted(self.nodes), len(self.nodes)):
                     self._say(head)
         digests = {node.group.members.digest for node in self.nodes.values()}
@@ -101,6 +106,16 @@
         self.seen.least_end = sum(node.group.members.even for node in self.nodes.values())
         return self.seen
 
+    def _look_who_knows(self) -> None:
+        for new in list(self._new):
+            when, head, life = new
+            tables = [node.group.members.records for node in self.nodes.values()]
+            if head not in self.nodes:
+                self._new.remove(new)
+            elif all(head in table and table[head].life >= life for table in tables):
+                self._new.remove(new)
+                self.seen.known_us.append(self.now - when)
+
     def _add_up(self) -> None:
         total = sum(node.group.members.even for node in self.nodes.values())
         if total > self.seen.most:
--- a/garnetlanding/emulator/verdict_net.py
+++ b/garnetlanding/emulator/verdict_net.py
@@ -32,6 +32,7 @@
     nodes: int = 8
     told: bool = True  # heads tell each other
     how: str = "silent"  # or "refuses"
+    struck: int = 1  # nodes, the first ones
     rate: float = 60.0  # requests a second for each node, over all heads
     serve_us: int = 15 * MS
     strikes_us: int = 6 * SECOND
@@ -49,6 +50,7 @@
     asked: int = 0
     bytes: int = 0
     doubts: set[tuple[int, str]] = field(default_factory=set)
+    after: tuple[int, int] = 0, 0  # asked for in the 10 s after the strike, and served in time of that
 
 
 def settings(net: Net, me: int) -> api.Settings:
@@ -89,7 +91,11 @@
             if now > self.net.length_us:
                 break
             self.seen.asked += isinstance(event, api.Arrival)
-            self.seen.served += isinstance(event, api.Result) and event.outcome is Outcome.SERVED
+            served = isinstance(event, api.Result) and event.outcome is Outcome.SERVED
+            self.seen.served += served
+            if 0 <= now - self.net.strikes_us < 10 * SECOND:
+                asked, well = self.seen.after
+                self.seen.after = asked + isinstance(event, api.Arrival), well + served
             for action in self.heads[me].handle(now, [event]):
                 match action:
                     case api.WakeAfter(span_us=span, token=token):
@@ -108,7 +114,7 @@
 
     def _send(self, now: int, me: int, request: str, attempt: int, node: str) -> None:
         net = self.net
-        struck = node == "n0" and net.strikes_us <= now < net.back_us
+        struck = int(node[1:]) < net.struck and net.strikes_us <= now < net.back_us
         if node == "n0" and net.strikes_us - SECOND <= now < net.strikes_us:
             self.seen.before[me] += 1
         if struck:
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -74,6 +74,7 @@
     fleet: bool = True  # heads tell each other of servers and of bans
     group: int = 0  # heads find each other from the first so many; 0: each is told all of them
     budgets: bool = False  # what all heads share moves by leases
+    server_connections: int = 0  # at one brick, of all heads; 0: each head for itself
 
 
 def _head(section: Section, key: str, heads: int) -> int:
@@ -123,7 +124,8 @@
 
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
-    top = Section(data, "", "name seed heads bricks length_s load settings fault fleet group budgets")
+    top = Section(data, "", "name seed heads bricks length_s load settings fault fleet group budgets "
+                  "server_connections")
     heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
@@ -148,8 +150,11 @@
     group = int(top.number("group", 0, 0, heads))
     if (group or flags["budgets"]) and not flags["fleet"]:
         raise ConfigError(f"key {'group' if group else 'budgets'}: only with fleet = true")
+    places = int(top.number("server_connections", 0, 0, LIMITS.brick_conns))
+    if places and not flags["budgets"]:
+        raise ConfigError("key server_connections: only with budgets = true")
     return Experiment(top.text("name"), int(top.number("seed", 0, 1)), heads, bricks, length_us, load,
-                      settings, faults, group=group, **flags)
+                      settings, faults, group=group, server_connections=places, **flags)
 
 
 def load(path: str) -> Experiment:
--- a/garnetlanding/lab/findings.py
+++ b/garnetlanding/lab/findings.py
@@ -22,6 +22,7 @@
     twins_most: float = 0.0  # the same, while two processes of one number had not heard of each other
     evens_most: float = 0.0  # greatest sum of the heads' even parts of what all share
     cold_most: float = 0.0  # of what a cold brick bears, the greatest part sent to one within its window
+    places_most: int = 0  # connections of all heads at one brick, at once
     broken: list[str] = field(default_factory=list)
 
     @property
--- a/garnetlanding/lab/fleet_checks.py
+++ b/garnetlanding/lab/fleet_checks.py
@@ -63,3 +63,10 @@
     # Where nothing is learnt of a brick's usual load, what it bears in any case is all that it may be sent.
     if plan["Rules"]["FallMultiple"] < LIMITS.parts_slack and found.cold_most > 1:
         found.broken.append(f"budgets: a cold brick was sent {found.cold_most:.2f} of what it bears")
+
+
+def places_held(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """At no time more connections at one brick than all heads together may have there."""
+    found.places_most = max((line["count"] for line in lines if line["what"] == "open"), default=0)
+    if 0 < experiment.server_connections < found.places_most:
+        found.broken.append(f"places: a brick had {found.places_most} connections at once")
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -45,6 +45,8 @@
     lines = ["[history]", f"file = {json.dumps(history)}", f"wall_file = {json.dumps(wall)}"]
     if experiment.fleet:
         lines += ["[fleet]", f"budgets = {json.dumps(experiment.budgets)}"]
+    if experiment.server_connections:
+        lines.append(f"server_connections = {experiment.server_connections}")
     if experiment.group:
         lines += [f"seeds = {json.dumps(seeds)}", "[fleet.routes]"]
         lines += [f"{json.dumps(at)} = {json.dumps(through)}" for at, through in routes.items()]
--- a/garnetlanding/lab/processes.py
+++ b/garnetlanding/lab/processes.py
@@ -43,6 +43,18 @@
         """Its exit code; None while it runs."""
         return self._child.poll() if self._child else 0
 
+    def cost(self) -> dict[str, float]:
+        """CPU in seconds since its start, and memory in MB, as the kernel counts them; empty where it does
+        not run."""
+        try:
+            stat = pathlib.Path(f"/proc/{self.id}/stat").read_text().rpartition(")")[2].split()
+            size = pathlib.Path(f"/proc/{self.id}/statm").read_text().split()
+        except OSError:
+            return {}
+        ticks, page = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
+        return {"cpu_s": (int(stat[11]) + int(stat[12])) / ticks,
+                "memory_mb": round(int(size[1]) * page / (1 << 20), 1)}
+
     def signal(self, number: int) -> None:
         if self._child and self._child.poll() is None:
             self._child.send_signal(number)
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -49,6 +49,7 @@
     lines: list[Line]
     began: int
     fates: dict[str, int]
+    costs: dict[str, dict[str, float]]  # of each head's last process: CPU in s, memory in MB
     folder: pathlib.Path
 
     def as_json(self) -> dict[str, object]:
@@ -57,9 +58,9 @@
                 "asked": f.asked, "outcomes": dict(f.outcomes), "attempts": f.attempts,
                 "over": round(f.over, 2), "used": round(f.used, 3),
                 "parts_most": round(f.parts_most, 3), "evens_most": round(f.evens_most, 3),
-                "cold_most": round(f.cold_most, 3), "lives": f.lives,
+                "cold_most": round(f.cold_most, 3), "places_most": f.places_most, "lives": f.lives,
                 "doubts": f.doubts, "doubts_unfounded": f.doubts_unfounded,
-                "links": self.fates, "broken": f.broken}
+                "links": self.fates, "costs": self.costs, "broken": f.broken}
 
 
 class Lab:
@@ -118,6 +119,7 @@
                     raise LabError("the clients did not come to an end")
             if self._clients.code:
                 raise LabError(f"the clients ended with code {self._clients.code}: see clients.log")
+            costs = {f"n{me}": cost for me, head in enumerate(self._heads) if (cost := head.cost())}
         finally:
             self._end()
         lines = history.read(sorted(self._folder.glob("*.history")))
@@ -127,7 +129,7 @@
             findings.broken += [f"defect: {log.name}: {line[:LIMITS.line_shown]}"
                                 for line in log.read_text(errors="replace").splitlines() if "trace=" in line]
         fates = {**self._weather.fates, "connections": self._tcp.passed}
-        return Result(e, findings, lines, began, fates, self._folder)
+        return Result(e, findings, lines, began, fates, costs, self._folder)
 
     def _configure(self, me: int, discovery: str, newer: bool = False) -> str:
         """Writes a head's files; gives back the name they have in common. The second process of an upgrade
--- a/garnetlanding/lab/world.py
+++ b/garnetlanding/lab/world.py
@@ -6,13 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from garnetlanding.emulator.base import Conn
 from garnetlanding.emulator.brick import Brick, BrickConn
 from garnetlanding.emulator.discovery import Box, Discovery
 from garnetlanding.lab.limits import LIMITS
 from garnetlanding.limits import SECOND, Limits
 from garnetlanding.resp import codec as resp
 from garnetlanding.runtime.buffers import BufferPool
-from garnetlanding.runtime.listener import Listener
+from garnetlanding.runtime.listener import Listener, Write
 from garnetlanding.runtime.scheduler import Scheduler
 
 
@@ -24,6 +25,14 @@
         self._note, self.number = note, number
         self.silent = False
         self._free_at = 0
+        self._most = 0  # connections at once, so far
+
+    def _make(self, write: Write) -> Conn:
+        conn = super()._make(write)
+        if len(self.conns) > self._most:
+            self._most = len(self.conns)
+            self._note("open", brick=self.number, count=self._most)
+        return conn
 
     def command(self, words: list[bytes], conn: BrickConn) -> None:
         if words[0].upper() != b"BLK.READ" or len(words) != 4:
--- a/garnetlanding/peers/budgets.py
+++ b/garnetlanding/peers/budgets.py
@@ -8,15 +8,17 @@
 from collections.abc import Iterable
 
 from garnetlanding.decision import interface as api
+from garnetlanding.peers import places
 from garnetlanding.peers.codec import Message
 from garnetlanding.peers.leases import Leases
 from garnetlanding.peers.limits import SECOND, PeerLimits
 
 
 class Budgets:
-    def __init__(self, limits: PeerLimits, s: api.Settings, life: int, now: int) -> None:
+    def __init__(self, limits: PeerLimits, s: api.Settings, life: int, now: int, longest_us: int = 0) -> None:
+        """`longest_us`: a window beside those of the settings."""
         self._limits = limits
-        longest = max(s.fall_us, s.budget_span_us, limits.list_window_us)
+        longest = max(s.fall_us, s.budget_span_us, limits.list_window_us, longest_us)
         self.leases = Leases(limits, s.me, s.hosts, life, now, window_us=longest)
         self._cold: dict[int, tuple[str, int]] = {}  # by cell: the server that is cold, until when
         self._units: dict[str, float] = {}  # of requests that may go to one of them
@@ -80,7 +82,8 @@
         """Of each budget that is asked for, this head's share as a multiple of 1 / hosts; None: as told."""
         if not self.leases.parts(now):
             return None
-        shares = {name: share * hosts for name, share in self.leases.believed().items()}
+        shares = {name: share * hosts for name, share in self.leases.believed().items()
+                  if not name.startswith(places.PREFIX)}  # those the driver asks for itself
         if api.LIST_CALLS in shares:
             # A head that may not ask at all could stay without a list: some it may always.
             shares[api.LIST_CALLS] = max(self._limits.list_least, shares[api.LIST_CALLS])
--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -48,17 +48,19 @@
     others: dict[int, int] = field(default_factory=dict)  # heads that have asked for it too, and when last
     window_us: int = 0  # of a budget: so much of it may be spent within any such span
     spent: Recent | None = None  # of it
+    held: float = 0.0  # of it, for as long as it is not given back
 
     def locked(self, now: int, longest_us: int) -> float:
         """The share of a budget that was spent lately: nobody may spend it again before its window ends."""
         if self.spent is None:
             return 0.0
-        return self.spent.total(now - longest_us) / (self.limit * self.window_us / SECOND)
+        return (self.held + self.spent.total(now - longest_us)) / (self.limit * self.window_us / SECOND)
 
     def wants(self, now: int, limits: PeerLimits) -> float:
         """The share of the limit that it could use, with some room to grow."""
         rate = self.rate.rate * max(0.0, 1 - (now - self.rate.at) / limits.span_us)
-        return min(1.0, limits.headroom * rate / self.limit)
+        held = self.held * SECOND / self.window_us if self.held else 0.0
+        return min(1.0, limits.headroom * (rate + held) / self.limit)
 
 
 class Leases:
@@ -115,7 +117,7 @@
         if own is None or (own.hosts, own.limit) != (hosts, limit):
             spent = own.spent if own else Recent(self.window_us) if self.window_us else None
             own = self.own[name] = Own(volume, hosts, limit, own.rate if own else Rate(), window_us=window_us,
-                                       spent=spent)
+                                       spent=spent, held=own.held if own else 0.0)
             self.look_at = now
         own.rate.add(now, units, self._limits.span_us)
 
@@ -125,6 +127,11 @@
         if own and own.spent:
             own.spent.add(now, units)
 
+    def hold(self, budget: str, units: float) -> None:
+        """So much of a budget that was asked for is in use, until it is said to be less."""
+        if own := self.own.get(tag(budget)):
+            own.held = units
+
     def heard(self, sender: int, m: Message, now: int) -> str:
         """Takes a head's word up; returns why not, if not."""
         if why := self.contact(sender, m.life, m.number, now):
@@ -270,7 +277,7 @@
             if part != self._parts.get(volume):
                 self._parts[volume] = changed[own.name] = part
             # What is held of it at the module outlasts what is wanted: until then it must hear what is given.
-            if now - own.rate.at > self._limits.known_us and part == 1 / own.hosts:
+            if now - own.rate.at > self._limits.known_us and part == 1 / own.hosts and not own.held:
                 del self.own[volume]
                 self._held.pop(volume, None)
                 self._parts.pop(volume, None)
--- a/garnetlanding/peers/setup.py
+++ b/garnetlanding/peers/setup.py
@@ -9,6 +9,8 @@
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.runtime.stream import parse_address
 
+MOST_CONNECTIONS = 100_000  # at one server
+
 
 @dataclass(frozen=True, slots=True)
 class PeerSetup:
@@ -42,6 +44,7 @@
     verdicts: bool = True
     bans: bool = True
     budgets: bool = False  # what all heads share moves by leases
+    server_connections: int = 0  # at one server, of all heads, by leases too; 0: each for itself
     seeds: tuple[str, ...] = ()  # heads are found from these, in place of those that the platform names
     advertise: str = ""  # where others reach this head; empty: where it listens
     routes: dict[str, str] = field(default_factory=dict)  # address translation, by the address a head names
@@ -53,11 +56,15 @@
 
 def read_fleet(data: object) -> FleetSetup:
     """Raises ConfigError."""
-    section = Section(data, "fleet", "verdicts bans budgets seeds advertise routes")
+    section = Section(data, "fleet", "verdicts bans budgets server_connections seeds advertise routes")
     flags = {key: section.raw(key) for key in ("verdicts", "bans", "budgets") if section.has(key)}
     for key, value in flags.items():
         if not isinstance(value, bool):
             raise ConfigError(f"key {section.name(key)}: expected true or false, found {value!r:.40}")
+    most = int(section.number("server_connections", 1, 0, MOST_CONNECTIONS)
+               if section.has("server_connections") else 0)
+    if most and not flags.get("budgets"):
+        raise ConfigError(f"key {section.name('server_connections')}: only with budgets = true")
     listed = section.raw("seeds") or []
     if not isinstance(listed, list):
         raise ConfigError(f"key {section.name('seeds')}: expected a list of addresses")
@@ -67,7 +74,7 @@
         if section.has(key) and not listed:
             raise ConfigError(f"key {section.name(key)}: only with seeds")
     return FleetSetup(
-        **flags, seeds=tuple(_numeric(named, str(i)) for i in range(len(listed))),
+        **flags, server_connections=most, seeds=tuple(_numeric(named, str(i)) for i in range(len(listed))),
         advertise=_numeric(section, "advertise") if section.has("advertise") else "",
         routes={_checked(routes, at): _numeric(routes, at) for at in routes.data})
 
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -161,6 +161,13 @@
             self._believed("shares", budgets.believed(), budgets.look_at)
         return api.Parts(parts, shares) if parts or shares is not None else None
 
+    def shared(self) -> tuple[Leases, int] | None:
+        """What divides budgets, and among how many heads; None before the first turn, or while this process
+        does not speak for its head."""
+        if not (self.budgets and self.leases and self._speaks):
+            return None
+        return self.budgets.leases, 1 + len(self._others)
+
     @property
     def _tightest_us(self) -> int:
         return min(c.aim_us for c in self.s.classes.values())
--- a/garnetlanding/peers/verdicts.py
+++ b/garnetlanding/peers/verdicts.py
@@ -33,6 +33,7 @@
         self._limits = limits
         self._claims: dict[str, dict[int, Claim]] = {}  # by server and head
         self._credit: dict[int, tuple[float, int]] = {}  # by head: how much, and when
+        self._withdrawn: dict[tuple[str, int], Claim] = {}  # by server and head: its last word before
 
     def credit(self, head: int, now: int) -> float:
         value, at = self._credit.get(head, (1.0, now))
@@ -59,8 +60,8 @@
                 until = sent_at - e.age_ms * MS + self._limits.word_us
                 self._take(node, sender, Claim(e.kind, e.count, now - e.age_ms * MS, until), now, seen)
         for node, claims in list(self._claims.items()):
-            if node not in told:
-                claims.pop(sender, None)
+            if node not in told and (claim := claims.pop(sender, None)):
+                self._withdrawn[node, sender] = claim
             if not claims:
                 del self._claims[node]
         return dropped
@@ -71,10 +72,14 @@
         return abs(told - known) <= self._limits.life_slack_us // TENTH
 
     def _take(self, node: str, sender: int, claim: Claim, now: int, seen: Sightings) -> None:
-        """A head that goes on saying what this one's traffic speaks against loses credit, one that was
-        merely not quick to hear of the change does not."""
+        """A head that goes on saying what this one's traffic speaks against loses credit, or that says it
+        once more; one that was merely not quick to hear of the change does not."""
         claims = self._claims.setdefault(node, {})
-        old = claims.get(sender)
+        old, before = claims.get(sender), self._withdrawn.pop((node, sender), None)
+        proved = seen.servers[node].proof_at(before.kind) if before else NEVER
+        if before and max(before.latest, claim.latest - self._limits.word_us) < proved < claim.latest:
+            # Said, refuted, withdrawn and soon said again: as good as gone on saying.
+            self._credit[sender] = self.credit(sender, now) * self._limits.refuted, now
         if old and old.kind is claim.kind:
             proof = seen.servers[node].proof_at(claim.kind)
             answered = old.answered_at if old.answered_at > NEVER else proof if proof > old.latest else NEVER
@@ -93,6 +98,8 @@
                 del claims[sender]
             if sight is None or not claims:
                 del self._claims[node]
+                for key in [key for key in self._withdrawn if sight is None and key[0] == node]:
+                    del self._withdrawn[key]
                 continue
             valid = [(who, c) for who, c in claims.items() if c.latest > sight.proof_at(c.kind)]
             weight = sum(self.credit(who, now) for who, _ in valid)
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -21,6 +21,14 @@
 
 log = logging.getLogger(__name__)
 
+class Places(Protocol):
+    """Of the connections that all heads together may have at a server, this head's."""
+
+    def most(self, server: str) -> int: ...
+
+    def open(self, server: str, count: int, lacking: bool = False) -> None: ...
+
+
 Key = tuple[str, str]  # endpoint, and what else a connection is bound to
 
 
@@ -58,7 +66,7 @@
 
 class Connection:
     def __init__(self, upstream: Upstream, key: Key, trial: Trial) -> None:
-        self._upstream, self.key = upstream, key
+        self._upstream, self.key, self.node = upstream, key, trial.node
         self.trial: Trial | None = trial
         self.machine = upstream.make(trial, self._write, self._done)
         self.began_at = self.idle_since = upstream.scheduler.now
@@ -176,6 +184,7 @@
         self._busy: dict[Trial, Connection] = {}
         self.count = 0
         self.part = 1.0  # of the connections, to be kept to while another process has the rest
+        self.places: Places | None = None  # where all heads together have so many at one server
         self.borrow: Callable[[], bool] = lambda: True  # asked for a place beyond those that are its own
         self.faults: Counter[tuple[str, str]] = Counter()  # by server and cause, since the last sweep
         scheduler.call_at(scheduler.now + limits.sweep_us, self._sweep)
@@ -204,12 +213,24 @@
             conn.begin(trial)
             return
         conns = self._conns.setdefault(key, set())
-        if len(conns) >= self.limits.brick_conns_each or not self._room():
+        if len(conns) >= self._each(trial.node) or not self._room():
+            if self.places:
+                self.places.open(trial.node, len(conns), lacking=True)
             trial.ended(Outcome.UNREACHABLE)
             return
         self.count += 1
         conn = self._busy[trial] = Connection(self, key, trial)
         conns.add(conn)
+        self._tell_places(conn)
+
+    def _each(self, node: str) -> int:
+        """Connections that this head may have at that server."""
+        each = self.limits.brick_conns_each
+        return min(each, self.places.most(node)) if self.places else each
+
+    def _tell_places(self, conn: Connection) -> None:
+        if self.places:
+            self.places.open(conn.node, len(self._conns[conn.key]))
 
     def stop(self, trial: Trial) -> None:
         conn = self._busy.pop(trial, None)
@@ -250,12 +271,21 @@
             self._busy.pop(conn.trial, None)
         if not conn.closed:
             self._idle.setdefault(conn.key, []).append(conn)
+            self._keep_to_places(conn.key)
+
+    def _keep_to_places(self, key: Key) -> None:
+        """What others had left to this head has gone back: connections above its part are closed, idle ones
+        at once and those at work as they come free."""
+        idle = self._idle.get(key, [])
+        while self.places and idle and len(self._conns[key]) > self.places.most(idle[0].node):
+            idle[0].close()
 
     def gone(self, conn: Connection) -> None:
         if conn.trial:
             self._busy.pop(conn.trial, None)
         self.count -= 1
         self._conns[conn.key].discard(conn)
+        self._tell_places(conn)
         if conn in self._idle.get(conn.key, ()):
             self._idle[conn.key].remove(conn)
 
@@ -272,6 +302,8 @@
         for conn in [c for conns in self._conns.values() for c in conns if c.began_at <= stuck]:
             if conn not in self._idle.get(conn.key, ()):
                 conn.close()
+        for key in list(self._idle):
+            self._keep_to_places(key)
         old = self.scheduler.now - self.limits.brick_idle_us
         for conns in list(self._idle.values()):
             for conn in [c for c in conns if c.idle_since <= old]:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -14,7 +14,10 @@
 from garnetlanding import config
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.control import Controller
+from garnetlanding.emulator.brick import Brick
 from garnetlanding.emulator.budget_net import BudgetNet, BudgetRun
+from garnetlanding.emulator.discovery import Box
+from garnetlanding.emulator.group_model import Scope, explore
 from garnetlanding.emulator.group_net import SECOND, GroupNet, GroupRun
 from garnetlanding.peers import codec, roll
 from garnetlanding.peers.budgets import Budgets
@@ -22,9 +25,10 @@
 from garnetlanding.peers.leases import Leases, Own
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.members import Members, Record
+from garnetlanding.peers.places import Places
 from garnetlanding.peers.setup import FleetSetup, read_fleet
 from garnetlanding.peers.turns import Turns
-from tests.helpers import T0, settings, up
+from tests.helpers import T0, Peer, World, read_command, settings, up
 
 LIMITS = PeerLimits()
 RECORDS = st.builds(
@@ -201,6 +205,19 @@
     raise AssertionError("no seed shows it")
 
 
+def test_no_course_of_a_small_group_makes_its_even_parts_more_than_the_whole() -> None:
+    found = explore(Scope(moves=6))
+    assert found.whole and found.states > 2000 and found.most == pytest.approx(1.0) and found.joined == 2
+    assert explore(Scope(seeds=1, moves=8)).most <= 1 + 1e-9
+
+
+@pytest.mark.parametrize("bug", ["a newcomer uses its part at once", "only who is heard counts"])
+def test_some_course_of_a_small_group_shows_a_bug(bug: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    name, instead = GROUP_BUGS[bug]
+    monkeypatch.setattr(Members, name, instead)
+    assert explore(Scope(seeds=1, moves=9)).most > 1.1
+
+
 # Budgets
 
 BUDGETS = {"three": BudgetNet(), "eight": BudgetNet(heads=8), "half is lost": BudgetNet(loss=0.5),
@@ -274,10 +291,85 @@
     assert sent[0.0] == 0 and 0 < sent[1.0] <= sent[3.0]
 
 
+class Shared:
+    """Leases of two heads that hear each other, and the places of the first."""
+
+    def __init__(self) -> None:
+        self.now, window = T0, 2 * SECOND
+        self.heads = [Leases(LIMITS, me, 2, 7, T0 - SECOND, window_us=window) for me in range(2)]
+        self.places = Places(8, window, lambda: self.now, lambda: (self.heads[0], 2))
+
+    def talk(self, seconds: float, mine: int = 0, theirs: int = 0, lacking: bool = False) -> None:
+        """Each head has so many connections open; the first, where it is `lacking`, wants one more."""
+        for _ in range(int(seconds * 4)):
+            self.now += SECOND // 4
+            self.places.open("n0", mine, lacking)
+            self.heads[1].asked("places:n0", 2, 4.0, 0, self.now, 2 * SECOND)
+            self.heads[1].hold("places:n0", theirs)
+            for sender, receiver in ((0, 1), (1, 0)):
+                number = self.heads[sender].sending(self.now)
+                for page in self.heads[sender].say(self.now).values():
+                    heard = self.heads[sender].last_heard(receiver)
+                    self.heads[receiver].heard(sender, codec.Message(7, number, *heard, *page), self.now)
+
+    def others(self) -> int:
+        return int(self.heads[1].part(codec.tag("places:n0"), self.now) * 8 + 1e-9)
+
+
+def test_places_at_a_server_move_to_the_head_that_lacks_them_and_never_add_up_to_more() -> None:
+    s = Shared()
+    assert s.places.most("n0") == 0, "what an earlier life had open may not have ended"
+    s.talk(3)
+    assert s.places.most("n0") == 4
+    s.talk(3, mine=4, lacking=True)
+    assert s.places.most("n0") > 5 and s.places.most("n0") + s.others() <= 8
+    more = Shared()
+    more.talk(3)
+    more.talk(3, mine=4, theirs=4, lacking=True)
+    assert more.places.most("n0") == 4, "none that the other has open"
+    nobody = Places(8, SECOND, lambda: T0, lambda: None)
+    nobody.open("n0", 1)
+    assert nobody.most("n0") == 0
+    alone = Leases(LIMITS, 0, 1, 7, T0, window_us=SECOND)
+    assert Places(8, SECOND, lambda: T0, lambda: (alone, 1)).most("n0") == 8
+
+
+class Few:
+    """Places that a test sets."""
+
+    def __init__(self) -> None:
+        self.allowed, self.told = 2, list[tuple[int, bool]]()
+
+    def most(self, server: str) -> int:
+        return self.allowed
+
+    def open(self, server: str, count: int, lacking: bool = False) -> None:
+        self.told.append((count, lacking))
+
+
+def test_a_head_opens_no_more_connections_than_it_has_places_and_closes_what_has_gone_back() -> None:
+    w, few = World(), Few()
+    w.bricks.places = few
+    brick = w.server(Brick)
+    brick.hold = True
+    w.list(Box("n0", brick.address, 0))
+    front = w.front()
+    peers = [Peer(w, front.address) for _ in range(3)]
+    for i, peer in enumerate(peers):
+        peer.say(read_command(f"r{i}"))
+    assert len(brick.conns) == 2 and (2, True) in few.told, "the third lacks a place"
+    few.allowed = 1
+    brick.hold = False
+    brick.release()
+    w.run(SECOND)
+    assert len(brick.conns) == 1 and few.told[-1][0] == 1, "the other was closed as it came free"
+
+
 # Configuration
 
 @pytest.mark.parametrize("data, key", [
-    ({"budgets": 1}, "key fleet.budgets"), ({"seeds": "x"}, "key fleet.seeds: expected a list"),
+    ({"budgets": 1}, "key fleet.budgets"), ({"server_connections": 9}, "server_connections: only with"),
+    ({"seeds": "x"}, "key fleet.seeds: expected a list"),
     ({"seeds": ["nowhere"]}, "key fleet.seeds.0"), ({"seeds": ["host:7"]}, "names no machine by number"),
     ({"advertise": "127.0.0.1:7"}, "key fleet.advertise: only with seeds"), ({"other": 1}, "key fleet.other"),
     ({"seeds": ["127.0.0.1:7"], "routes": {"127.0.0.1:7": 5}}, "key fleet.routes.127.0.0.1:7"),
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -132,6 +132,24 @@
     assert v.credit(1, now + LIMITS.recover_us) == 1
 
 
+def test_a_head_that_takes_its_word_back_and_says_it_again_counts_less_too() -> None:
+    seen, v = sightings(), Verdicts(LIMITS)
+    now = T0
+    for _ in range(4):
+        v.heard(1, [dead()], now, now, seen)
+        seen.see(now + MS, [result("n0", SERVED)], AIM)
+        v.heard(1, [], now + 2 * MS, now + 2 * MS, seen)
+        now += 500 * MS
+    assert v.credit(1, now) < LIMITS.trust
+    other, slow = Verdicts(LIMITS), T0 + 60 * SECOND
+    for _ in range(4):  # a server that really comes and goes, at some distance
+        other.heard(1, [dead()], slow, slow, seen)
+        seen.see(slow + MS, [result("n0", SERVED)], AIM)
+        other.heard(1, [], slow + 2 * MS, slow + 2 * MS, seen)
+        slow += 2 * LIMITS.word_us
+    assert other.credit(1, slow) == 1
+
+
 def test_a_head_that_was_right_keeps_its_credit_when_the_server_comes_back() -> None:
     seen, v = sightings(), Verdicts(LIMITS)
     for now in range(T0, T0 + 3 * SECOND, 250 * MS):
