Cap attempts by places; a follower of the store keeps its own number; links to the store on the lab

Followers took the writer's settings with its number (Me): all heads that talk would have been head 0. Daemon._as_used keeps the head's own.

--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import gc
+import json
 import logging
 import os
 import signal
 import tempfile
 import time
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -176,7 +178,8 @@
 
     def _as_used(self, settings: api.Settings) -> api.Settings:
         """With the classes that exports derive from those of the settings, and this process's part."""
-        settings = replace(settings, part=self.part)
+        # A writer's settings hold at every head, but for the number of each.
+        settings = replace(settings, part=self.part, me=self.config.settings.me)
         ninep = self.config.operator.ninep
         if not ninep or not any(export.writable for export in ninep.exports.values()):
             return settings
@@ -336,6 +339,9 @@
             log.error("settings not taken, the old ones stand", extra={"kv": {"why": problem}})
         else:
             log.info("settings taken")
+            if self.history:
+                self.history.note("settings", epoch=self.store.epoch, revision=self.store.revision,
+                                  digest=zlib.crc32(json.dumps(raw, sort_keys=True).encode()))
             self.watch.hold()
             self._place_link()
 
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -331,7 +331,8 @@
         """Little's law on completions; slow answers narrow it below the floor (a departure), doubts to 1."""
         little = h.served.total(self.now - RATE_SPAN) / RATE_SPAN * self.tightest
         part, narrow = self.s.part, h.narrow if self.now >= h.doubted else 0.0
-        return max(1.0, narrow * min(DEPTH_CEILING * part, max(DEPTH_FLOOR * part, little)))
+        most = self.shares.get(api.places(h.entry.node), DEPTH_CEILING) if self.shares else DEPTH_CEILING
+        return max(1.0, narrow * min(most, DEPTH_CEILING * part, max(DEPTH_FLOOR * part, little)))
 
     def _next(self, node: Node, h: Health) -> Request | None:
         """The lowest start tag among those with tokens left that the wait there is not too long for."""
@@ -526,8 +527,7 @@
         return idle if idle > budget else budget - spent, self.s.fall_us / budget
 
     def _told_rate(self, node: Node) -> float:
-        """Units a second that the plans lead one to expect there through this host: each volume's usual rate,
-        over its hosts, by the share of what it asks that lies there. A host that restarts has learnt none."""
+        """Units a second that the plans lead this host to expect there, by where volumes' requests go."""
         return sum(v.plan.usual_rate / v.hosts * node.flows[name].came / v.came
                    for name in node.flows if (v := self.volumes[name]).came)
 
--- a/garnetlanding/decision/interface.py
+++ b/garnetlanding/decision/interface.py
@@ -120,6 +120,11 @@
     return f"cold:{node}"
 
 
+def places(node: str) -> str:
+    """Attempts at that node at once: told as their number."""
+    return f"places:{node}"
+
+
 # Events
 
 
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -14,14 +14,17 @@
 COMINGS = ("join", "twin", "leave")
 CLOCKS = ("clock",)  # a running head's wall clock steps to `wall_s` beside the machine's
 UPGRADES = ("upgrade",)  # a second process of the head; until: the first gets the signal that `how` names
-RELOADS = ("reload", "move")  # SIGHUP at one time; move: with another discovery in the head's file
+# SIGHUP at one time; move: with another discovery in the head's file; settings: with another `weight`.
+RELOADS = ("reload", "move", "settings")
 LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder", "flood")  # of datagrams from head to head
 # Takes work and answers nothing; refuses connections; the same, and comes back cold, as the list then tells.
 BRICK_FAULTS = ("silent", "down", "restart")
 CALLS = ("disable", "enable", "drain", "resume")  # of an operator at one head, at one time
 STREAM_FAULTS = ("lag", "trickle", "freeze", "reset")  # of connections: late, in drops, held up, torn down
-LINKS = ("brick", "discovery", "client")  # a head's connections to a brick, to its discovery, from clients
-LIES = ("lie",)  # one head's words: that every brick is dead
+# A head's connections to a brick, to its discovery, from clients, to the store's writer.
+LINKS = ("brick", "discovery", "client", "store")
+LIES = ("lie",)  # one head's words, as `how` says
+LIED = ("dead", "greedy")  # that every brick is dead; that it wants all of every limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,13 +37,14 @@
     who: int = -1  # of a process or a brick
     brick: int = -1  # of an operator's call
     link: str = ""  # of a fault of connections
-    how: str = ""  # the first process of an upgrade ends: term, kill or stop
+    how: str = ""  # the first process of an upgrade ends: term, kill or stop; what a lie is about
     wall_s: int = 0  # a head that starts again has its wall clock wrong by so much
     alias: int = -1  # the number under which a twin starts
     newer: bool = False  # an operator's call goes to the second process of an upgrade
     sender: int = -1  # of a link; -1: every head
     receiver: int = -1
     share: float = 1.0  # of the datagrams that it strikes
+    weight: float = 1.0  # of the plan, in other settings
     span_us: int = 0  # a delay, and how far apart the copies of a doubled one are
 
     def strikes(self, sender: int, receiver: int, now: int) -> bool:
@@ -75,6 +79,7 @@
     group: int = 0  # heads find each other from the first so many; 0: each is told all of them
     budgets: bool = False  # what all heads share moves by leases
     server_connections: int = 0  # at one brick, of all heads; 0: each head for itself
+    store: bool = False  # settings come from n0, the writer of a store that the others follow
 
 
 def _head(section: Section, key: str, heads: int) -> int:
@@ -98,7 +103,8 @@
         raise ConfigError(f"key {section.name('until_s')}: not after at_s")
     who = sender = receiver = brick = -1
     link = ""
-    how = section.one_of("how", PROCESS_FAULTS) if section.has("how") else "term"
+    hows = LIED if kind in LIES else PROCESS_FAULTS
+    how = section.one_of("how", hows) if section.has("how") else "dead" if kind in LIES else "term"
     wall_s = int(section.number("wall_s", -1e9, 0, 1e9))
     newer = section.raw("newer") or False
     if not isinstance(newer, bool):
@@ -119,13 +125,14 @@
         sender, receiver = _head(section, "from", heads), _head(section, "to", heads)
     alias = _head(section, "as", heads) if kind == "twin" else -1
     return Fault(kind, at_us, until_us, who, brick, link, how, wall_s, alias, newer, sender, receiver,
-                 section.number("share", 0, 1.0, 1.0), int(section.number("span_ms", 0, 0, 60_000) * 1000))
+                 section.number("share", 0, 1.0, 1.0), section.number("weight", 0.01, 1.0, 100.0),
+                 int(section.number("span_ms", 0, 0, 60_000) * 1000))
 
 
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
     top = Section(data, "", "name seed heads bricks length_s load settings fault fleet group budgets "
-                  "server_connections")
+                  "server_connections store")
     heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
@@ -138,12 +145,12 @@
     listed = top.raw("fault") or []
     if not isinstance(listed, list):
         raise ConfigError("key fault: expected [[fault]] tables")
-    known = "kind at_s until_s who as brick link how wall_s newer from to share span_ms"
+    known = "kind at_s until_s who as brick link how wall_s newer from to share weight span_ms"
     faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
                    for i, one in enumerate(listed))
     settings = Section(top.raw("settings") or {}, "settings").data
-    flags = {"fleet": True, "budgets": False} | {key: top.raw(key) for key in ("fleet", "budgets")
-                                                 if top.has(key)}
+    flags = {"fleet": True, "budgets": False, "store": False}
+    flags |= {key: top.raw(key) for key in flags if top.has(key)}
     for key, value in flags.items():
         if not isinstance(value, bool):
             raise ConfigError(f"key {key}: expected true or false")
--- a/garnetlanding/lab/fleet_checks.py
+++ b/garnetlanding/lab/fleet_checks.py
@@ -70,3 +70,21 @@
     found.places_most = max((line["count"] for line in lines if line["what"] == "open"), default=0)
     if 0 < experiment.server_connections < found.places_most:
         found.broken.append(f"places: a brick had {found.places_most} connections at once")
+
+
+def settings_followed(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """At the end every head that runs has the writer's settings, and no revision ever had two texts."""
+    if not experiment.store:
+        return
+    texts: dict[tuple[int, int], int] = {}
+    last: dict[str, tuple[int, int, int]] = {}
+    for line in lines:
+        if line["what"] == "settings":
+            version = line["epoch"], line["revision"]
+            last[line["who"]] = (*version, line["digest"])
+            if texts.setdefault(version, line["digest"]) != line["digest"]:
+                found.broken.append(f"settings: {line['who']} has another text of revision {version}")
+    left = {f"n{f.who}" for f in experiment.faults if f.kind == "leave"}
+    for head, (_, _, digest) in sorted(last.items()):
+        if head not in left and "n0" in last and digest != last["n0"][2]:
+            found.broken.append(f"settings: {head} has not the writer's at the end")
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -40,8 +40,9 @@
 
 
 def operators_file(experiment: Experiment, history: str, wall: str, seeds: list[str],
-                   routes: dict[str, str]) -> str:
-    """`wall`: a file that says how far the head's wall clock is off."""
+                   routes: dict[str, str], store: str, writes: bool) -> str:
+    """`wall`: a file that says how far the head's wall clock is off; `store`: where the writer listens, or is
+    reached."""
     lines = ["[history]", f"file = {json.dumps(history)}", f"wall_file = {json.dumps(wall)}"]
     if experiment.fleet:
         lines += ["[fleet]", f"budgets = {json.dumps(experiment.budgets)}"]
@@ -50,4 +51,7 @@
     if experiment.group:
         lines += [f"seeds = {json.dumps(seeds)}", "[fleet.routes]"]
         lines += [f"{json.dumps(at)} = {json.dumps(through)}" for at, through in routes.items()]
+    if experiment.store:
+        role = "writer" if writes else "follower"
+        lines += ["[store]", f"role = {json.dumps(role)}", 'writer = "n0"', f"address = {json.dumps(store)}"]
     return "\n".join(lines) + "\n"
--- a/garnetlanding/lab/lies.py
+++ b/garnetlanding/lab/lies.py
@@ -1,16 +1,22 @@
-"""A head that lies: its words, on their way to the others, say that every brick is dead. No I/O."""
+"""A head that lies: its words, on their way to the others, say that every brick is dead, or that it wants all
+of every limit. No I/O.
+"""
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from garnetlanding.peers import codec, words
 from garnetlanding.peers.limits import PeerLimits
 
 
-def lie(data: bytes, bricks: list[str]) -> bytes:
+def lie(data: bytes, bricks: list[str], how: str) -> bytes:
     """The same message with other words; one of another kind, or that cannot be read, goes on as it is."""
     limits = PeerLimits()
     try:
         e = codec.unseal(data, limits.datagram_bytes)
+        if how == "greedy":
+            return _greedy(e) if e.kind == codec.LEASES else data
         if e.kind != codec.WORDS:
             return data
         told = words.read(e)
@@ -21,3 +27,10 @@
     most, _ = words.fit(evidence, (), limits.datagram_bytes)
     forged = words.Words(told.digest, evidence[:most])
     return codec.seal(words.envelope(forged, e.life, e.number, e.re_life, e.re_number))
+
+
+def _greedy(e: codec.Envelope) -> bytes:
+    """Raises BadMessage."""
+    told = codec.leases(e)
+    asks = {volume: (1.0, hosts) for volume, (_, hosts) in told.asks.items()}
+    return codec.encode(replace(told, asks=asks, grants={}))
--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -14,6 +14,7 @@
     heads: int = 32  # of an experiment at most
     port: int = 6379  # of a head for clients
     peer_port: int = 7946  # of a head for other heads
+    store_port: int = 7400  # of the store's writer
     ops_port: int = 7380  # of a head for operators
     supervise_us: int = 2 * SECOND  # after which a first process that stands still is killed
     call_s: int = 2  # that an operator's call may take
--- a/garnetlanding/lab/proxy.py
+++ b/garnetlanding/lab/proxy.py
@@ -52,8 +52,8 @@
             if source != self._reach[sender]:
                 continue
             now = -1 if self.began is None else self._scheduler.now - self.began
-            if self._weather.lies(sender, now):
-                data = lie(data, self._bricks)
+            if how := self._weather.lies(sender, now):
+                data = lie(data, self._bricks, how)
             for delay in self._weather.fate(sender, receiver, now):
                 self._scheduler.call_at(self._scheduler.now + delay,
                                         lambda data=data: self._pass(back, data, receiver))  # type: ignore[misc]
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -84,6 +84,7 @@
         self._heads: list[Process] = []
         self._late = {fault.who for fault in experiment.faults if fault.kind in ("join", "twin")}
         self._listed_at: dict[int, str] = {}  # discovery's address, by head
+        self._store_at: dict[int, str] = {}  # where a follower reaches the writer
         self._newer: dict[int, Process] = {}  # second processes, by head
         self._older: list[Process] = []  # first ones whose heads go on in the second
         self._clients: Process | None = None
@@ -143,8 +144,12 @@
             wall.write_text("0")
         own = [f"{self._at(you)}:{LIMITS.peer_port}" for you in range(e.heads)]
         routes = dict(zip(own, self._links.peers(me), strict=True))
+        store = f"{self._at(0)}:{LIMITS.store_port}"
+        if e.store and me and me not in self._store_at:
+            self._store_at[me] = self._tcp.place(Link("store", me), f"{self._net}.1", store)
         (self._folder / f"{name}.toml").write_text(heads.operators_file(
-            e, str(self._folder / f"n{me}.history"), str(wall), own[:e.group], routes))
+            e, str(self._folder / f"n{me}.history"), str(wall), own[:e.group], routes,
+            self._store_at.get(me, store), me == 0))
         return name
 
     def _discovery(self, me: int) -> str:
@@ -279,6 +284,13 @@
     def _reload(self, fault: Fault) -> None:
         if fault.kind == "move":
             self._configure(fault.who, self._world.spare.address)
+        if fault.kind == "settings":
+            path = self._folder / f"n{fault.who}.json"
+            config = json.loads(path.read_text())
+            config["settings"]["Contracts"][0]["Weight"] = fault.weight
+            new = path.with_suffix(".new")
+            new.write_text(json.dumps(config, indent=1))
+            new.replace(path)
         self._heads[fault.who].signal(signal.SIGHUP)
 
     def _call_soon(self, fault: Fault) -> None:
--- a/garnetlanding/lab/streams.py
+++ b/garnetlanding/lab/streams.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Link:
-    """One head's connections to one brick, to its discovery, or from its clients."""
+    """One head's connections to one brick, to its discovery, from its clients, or to the store's writer."""
 
     kind: str
     head: int
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -19,12 +19,13 @@
                        for a in range(experiment.heads) for b in range(experiment.heads)}
         self.fates: Counter[str] = Counter()
 
-    def lies(self, sender: int, now: int) -> bool:
-        """Whether that head's words are false at that time."""
-        false = any(f.kind == "lie" and f.who == sender and f.at_us <= now < f.until_us for f in self._faults)
-        if false:
-            self.fates["lie"] += 1
-        return false
+    def lies(self, sender: int, now: int) -> str:
+        """How that head's words are false at that time; empty: they are not."""
+        for f in self._faults:
+            if f.kind == "lie" and f.who == sender and f.at_us <= now < f.until_us:
+                self.fates["lie"] += 1
+                return f.how
+        return ""
 
     def fate(self, sender: int, receiver: int, now: int) -> list[int]:
         """After how many microseconds it arrives, once for each copy; empty: never."""
--- a/garnetlanding/peers/budgets.py
+++ b/garnetlanding/peers/budgets.py
@@ -5,10 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from garnetlanding.decision import interface as api
-from garnetlanding.peers import places
 from garnetlanding.peers.codec import Message
 from garnetlanding.peers.leases import Leases
 from garnetlanding.peers.limits import SECOND, PeerLimits
@@ -82,13 +81,19 @@
         """Of each budget that is asked for, this head's share as a multiple of 1 / hosts; None: as told."""
         if not self.leases.parts(now):
             return None
-        shares = {name: share * hosts for name, share in self.leases.believed().items()
-                  if not name.startswith(places.PREFIX)}  # those the driver asks for itself
+        shares = {name: share * (whole or hosts) for name, share, whole in self._believed()}
         if api.LIST_CALLS in shares:
             # A head that may not ask at all could stay without a list: some it may always.
             shares[api.LIST_CALLS] = max(self._limits.list_least, shares[api.LIST_CALLS])
         return shares
 
+    def _believed(self) -> Iterator[tuple[str, float, float]]:
+        """Name and share of each budget, and how much the whole of it is, of what is told by number."""
+        believed = self.leases.believed()
+        for own in self.leases.own.values():
+            counted = own.name.startswith(api.places(""))
+            yield own.name, believed[own.name], own.limit * own.window_us / SECOND if counted else 0.0
+
     def heard(self, sender: int, message: Message, now: int) -> str:
         """Takes a head's word up; returns why not, if not."""
         return self.leases.heard(sender, message, now)
--- a/garnetlanding/peers/places.py
+++ b/garnetlanding/peers/places.py
@@ -7,12 +7,11 @@
 
 from collections.abc import Callable
 
+from garnetlanding.decision.interface import places as _name
 from garnetlanding.peers.codec import tag
 from garnetlanding.peers.leases import Leases
 from garnetlanding.peers.limits import SECOND
 
-PREFIX = "places:"
-
 
 class Places:
     def __init__(self, each: int, longest_us: int, now: Callable[[], int],
@@ -44,7 +43,3 @@
             leases.asked(_name(server), hosts, self.each * SECOND / self._longest_us, float(lacking),
                          self._now(), self._longest_us)
             leases.hold(_name(server), count)
-
-
-def _name(server: str) -> str:
-    return PREFIX + server
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -213,9 +213,12 @@
             conn.begin(trial)
             return
         conns = self._conns.setdefault(key, set())
-        if len(conns) >= self._each(trial.node) or not self._room():
-            if self.places:
-                self.places.open(trial.node, len(conns), lacking=True)
+        if self.places and len(conns) >= self.places.most(trial.node):
+            # The place is lacking, not the server: nothing is to be learnt of it.
+            self.places.open(trial.node, len(conns), lacking=True)
+            trial.ended(Outcome.MOOT)
+            return
+        if len(conns) >= self.limits.brick_conns_each or not self._room():
             trial.ended(Outcome.UNREACHABLE)
             return
         self.count += 1
@@ -223,11 +226,6 @@
         conns.add(conn)
         self._tell_places(conn)
 
-    def _each(self, node: str) -> int:
-        """Connections that this head may have at that server."""
-        each = self.limits.brick_conns_each
-        return min(each, self.places.most(node)) if self.places else each
-
     def _tell_places(self, conn: Connection) -> None:
         if self.places:
             self.places.open(conn.node, len(self._conns[conn.key]))
