--- a/garnetlanding/lab/limits.py
+++ b/garnetlanding/lab/limits.py
@@ -36,6 +36,8 @@
     send_us: int = 100 * MS  # from a head's decision to its brick, on a loaded machine
     process_us: int = 1500 * MS  # that a process takes to end or start at most, on a loaded machine
     twin_us: int = 3 * SECOND  # start, a word there and back, and the leases given meanwhile
+    latency_most_us: int = 60 * SECOND  # longer ones count as that
+    latency_digits: int = 3  # that a histogram keeps of each
     parts_slack: float = 0.001  # of a sum of parts: histories round
     line_shown: int = 200  # characters of a log's line
     broken_shown: int = 20  # rules broken, on the screen; all are in the result
--- a/garnetlanding/lab/report.py
+++ b/garnetlanding/lab/report.py
@@ -17,6 +17,7 @@
 
 from garnetlanding.lab import experiment as files
 from garnetlanding.lab import figures, history
+from garnetlanding.lab.latency import histogram, milliseconds
 from garnetlanding.lab.limits import LIMITS
 from garnetlanding.lab.run import LabError, Result
 from garnetlanding.lab.run import run as carry_out
@@ -96,6 +97,10 @@
         writer = csv.DictWriter(file, list(table[0]))
         writer.writeheader()
         writer.writerows(table)
+    try:
+        latency = milliseconds(histogram(lines))
+    except ImportError as problem:
+        raise LabError(f"latencies need the extra `lab`: {problem}") from None
     drawn: list[pathlib.Path] = []
     if charts:
         from garnetlanding.lab.charts import draw
@@ -105,12 +110,13 @@
         except ImportError as problem:
             raise LabError(f"charts need matplotlib: {problem}") from None
     if as_json:
-        print(json.dumps({"seconds": table, "charts": [path.name for path in drawn]}))
+        print(json.dumps({"seconds": table, "latency_ms": latency, "charts": [path.name for path in drawn]}))
         return 0
     shown = Table(*table[0])
     for row in table:
         shown.add_row(*("" if value is None else str(value) for value in row.values()))
     Console(width=None if sys.stdout.isatty() else LIMITS.table_columns).print(shown)
+    print("served, ms: " + ", ".join(f"{name} {value:g}" for name, value in latency.items()))
     for path in [place / "series.csv", *drawn]:
         print(path)
     return 0
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -355,9 +355,10 @@
 
 def test_a_follower_takes_up_what_its_writer_changes(caplog: pytest.LogCaptureFixture) -> None:
     h = Head({"store": {"role": "follower", "writer": "n0", "address": "127.0.0.1:9"}})
-    theirs = SETTINGS | {"Limits": SETTINGS["Limits"] | {"MaxAttempts": 2}}
+    theirs = SETTINGS | {"Limits": SETTINGS["Limits"] | {"MaxAttempts": 2}, "Balancers": 3, "Me": 2}
     h.daemon.store.restore(Snapshot(5, 1, {SETTINGS_KEY: theirs}))
     assert h.daemon.core._settings.max_attempts == 2
+    assert h.daemon.core.settings.me == 0, "the writer's number is the writer's: heads would all be one"
     h.daemon.store.apply(5, Entry(2, SETTINGS_KEY, {}))
     assert h.daemon.core._settings.max_attempts == 2 and "settings not taken" in caplog.text
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 
 from garnetlanding import cli
 from garnetlanding.config.section import ConfigError
-from garnetlanding.lab import checks, figures, history, plan
+from garnetlanding.lab import checks, figures, history, latency, plan
 from garnetlanding.lab.experiment import Experiment, Fault, Load, load, read
 from garnetlanding.lab.limits import SECOND
 from garnetlanding.lab.run import Interrupted, LabError, Result, run
@@ -185,6 +185,18 @@
     assert [figures.percentile(range(0, 100_000, 1000), share) for share in (0, 0.5, 0.99)] == [0, 50, 99]
 
 
+def test_latencies_add_up_over_runs() -> None:
+    lines: list[dict[str, Any]] = [{"what": "answer", "outcome": "served", "took": n * 1000}
+                                   for n in range(1, 101)]
+    one = latency.histogram([*lines, {"what": "answer", "outcome": "refused", "took": 9 * SECOND}])
+    told = latency.milliseconds(one)
+    assert told["count"] == 100 and told["max"] == pytest.approx(100, rel=0.01)
+    assert told["p50"] == pytest.approx(50, rel=0.01) and told["p99"] == pytest.approx(99, rel=0.01)
+    one.add(latency.histogram([{"what": "answer", "outcome": "served", "took": 3600 * SECOND}]))
+    assert latency.milliseconds(one)["max"] == pytest.approx(60_000, rel=0.01)
+    assert latency.milliseconds(latency.histogram([])) == {}
+
+
 def test_a_history_cut_short_is_read_and_a_damaged_one_is_an_error(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "n0.history"
     path.write_bytes(b'{"t":2,"what":"b"}\n{"t":1,"what":"a"}\n{"t":3,"wh')
