Keep idle connections to subsets with quotas, and bound further attempts of the whole fleet

Subsets: highest random weights with quotas; every small fleet and 300 random ones hold the laws (k servers a head, heads at a server of one zone differ by at most one), ten broken variants are caught. Against four published ways in benchmarks/results/subsets.md.

--- /dev/null
+++ b/benchmarks/subsets.py
@@ -0,0 +1,155 @@
+"""Ways to give heads subsets of servers, side by side; and the loop of the weight's step.
+
+    python -m benchmarks.subsets        writes benchmarks/results/subsets.md and subsets.png
+"""
+
+from __future__ import annotations
+
+import math
+import pathlib
+import random
+import time
+from bisect import bisect
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from garnetlanding.choices.subsets import subsets, weight
+from garnetlanding.decision.control import WEIGHT_CLAMP, WEIGHT_EVERY, WEIGHT_GAIN
+
+RESULTS = pathlib.Path(__file__).parent / "results"
+Way = Callable[[Sequence[int], Sequence[str], int], dict[int, set[str]]]
+
+
+def at_random(heads: Sequence[int], servers: Sequence[str], k: int) -> dict[int, set[str]]:
+    return {head: set(random.Random(head).sample(list(servers), k)) for head in heads}
+
+
+def in_rounds(heads: Sequence[int], servers: Sequence[str], k: int) -> dict[int, set[str]]:
+    """Deterministic subsets in shuffled rounds (Site Reliability Engineering, chapter 20)."""
+    each, found = max(1, len(servers) // k), {}
+    for i, head in enumerate(heads):
+        shuffled = list(servers)
+        random.Random(i // each).shuffle(shuffled)
+        found[head] = set(shuffled[i % each * k:i % each * k + k])
+    return found
+
+
+def by_weight(heads: Sequence[int], servers: Sequence[str], k: int) -> dict[int, set[str]]:
+    return {head: set(sorted(servers, key=lambda s: weight(head, s), reverse=True)[:k]) for head in heads}
+
+
+def on_a_ring(heads: Sequence[int], servers: Sequence[str], k: int) -> dict[int, set[str]]:
+    """Consistent hashing with bounded loads, 1.25 of the mean."""
+    points = sorted((weight(i, s), s) for s in servers for i in range(20))
+    keys, most = [key for key, _ in points], math.ceil(1.25 * len(heads) * k / len(servers))
+    load, found = Counter[str](), {}
+    for head in heads:
+        mine: set[str] = set()
+        at = bisect(keys, weight(head, "ring"))
+        for step in range(len(points)):
+            server = points[(at + step) % len(points)][1]
+            if len(mine) < k and server not in mine and load[server] < most:
+                mine.add(server)
+                load[server] += 1
+        found[head] = mine
+    return found
+
+
+def with_quotas(heads: Sequence[int], servers: Sequence[str], k: int) -> dict[int, set[str]]:
+    return subsets(heads, dict.fromkeys(servers, ""), k)
+
+
+WAYS: dict[str, Way] = {"random": at_random, "shuffled rounds": in_rounds, "highest weight": by_weight,
+                        "ring, bounded loads": on_a_ring, "highest weight with quotas": with_quotas}
+SIZES = [(10, 30, 6), (100, 100, 20), (200, 120, 20), (1000, 120, 20), (10_000, 60, 20)]
+
+
+def moved(before: dict[int, set[str]], after: dict[int, set[str]]) -> int:
+    """Pairs that are new."""
+    return sum(len(servers - before.get(head, set())) for head, servers in after.items())
+
+
+def row(name: str, way: Way, heads: int, servers: int, k: int) -> tuple[str, float]:
+    names, numbers = [f"s{i}" for i in range(servers)], list(range(heads))
+    began = time.perf_counter()
+    now = way(numbers, names, k)
+    took = time.perf_counter() - began
+    per = Counter(server for some in now.values() for server in some)
+    loads = [per[name] for name in names]
+    joined = moved(now, way([*numbers, heads], names, k))
+    more = moved(now, way(numbers, [*names, f"s{servers}"], k))
+    fewer = moved(now, way(numbers, [n for n in names if n != "s3"], k))
+    least = (k, heads * k // (servers + 1), per["s3"])
+    jain = sum(loads) ** 2 / (len(loads) * sum(load * load for load in loads))
+    return (f"| {heads} x {servers}, {k} each | {name} | {min(loads)} to {max(loads)} | {jain:.4f} "
+            f"| {joined} ({least[0]}) | {more} ({least[1]}) | {fewer} ({least[2]}) | {took * 1000:.0f} |",
+            max(loads) / (sum(loads) / len(loads)))
+
+
+def steered(gain: float, delay_s: float, heads: int, seconds: int = 120) -> tuple[float, float]:
+    """Overshoot (of the logarithm, over the first error) and the seconds until it stays within a tenth, of a
+    volume that gets twice its plan's rate. Every head steps on the same late figure, each at its own time."""
+    every, step, most = WEIGHT_EVERY / 1e6, 0.1, math.log(WEIGHT_CLAMP)
+    weights = [math.log(2.0)] * heads
+    past: list[float] = []
+    worst, settled = 0.0, 0.0
+    for tick in range(int(seconds / step)):
+        now = tick * step
+        past.append(sum(weights) / heads)  # what the volume gets follows its weights at all heads
+        seen = past[max(0, len(past) - 1 - int(delay_s / step))]
+        for i in range(heads):
+            if int(now / every + i / heads) != int((now - step) / every + i / heads):
+                weights[i] = min(most, max(-most, weights[i] - gain * seen))
+        worst = max(worst, -past[-1] / math.log(2.0))
+        if abs(past[-1]) > 0.1 * math.log(2.0):
+            settled = now
+    return worst, settled
+
+
+def draw(spread: dict[str, list[tuple[int, float]]]) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for name, points in spread.items():
+        axes.plot([x for x, _ in points], [y for _, y in points], marker="o", label=name)
+    axes.set_xscale("log")
+    axes.set_xlabel("heads")
+    axes.set_ylabel("most heads at a server / mean")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(RESULTS / "subsets.png", dpi=110)
+
+
+def main() -> None:
+    lines = ["# Subsets, and the weight's step", "",
+             "`python -m benchmarks.subsets`. Pairs that a change makes anew, beside the least possible.", "",
+             "| heads x servers | way | heads at a server | Jain's index | a head more | a server more "
+             "| a server less | ms |", "| --- " * 8 + "|"]
+    spread: dict[str, list[tuple[int, float]]] = {}
+    for heads, servers, k in SIZES:
+        for name, way in WAYS.items():
+            line, most = row(name, way, heads, servers, k)
+            lines.append(line)
+            spread.setdefault(name, []).append((heads, most))
+            print(line, flush=True)
+    draw(spread)
+    lines += ["", f"The weight's step every {WEIGHT_EVERY / 1e6:g} s; as built the gain is {WEIGHT_GAIN:g}. "
+              "Overshoot of the first error, and seconds until a tenth is left ('-': not in 120 s).", "",
+              "| figure late by | heads | " + " | ".join(f"gain {gain}" for gain in (1.0, 0.5, 0.25)) + " |",
+              "| --- " * 5 + "|"]
+    for delay in (0.2, 1, 2.5, 5, 8.3):
+        for heads in (1, 3, 10, 100):
+            cells = []
+            for gain in (1.0, 0.5, 0.25):
+                over, settled = steered(gain, delay, heads)
+                cells.append(f"{over:.2f}, {'-' if settled > 110 else f'{settled:.0f}'}")
+            lines.append(f"| {delay} s | {heads} | " + " | ".join(cells) + " |")
+    (RESULTS / "subsets.md").write_text("\n".join(lines) + "\n")
+    print("\n".join(lines[-24:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/garnetlanding/config/operator.py
+++ b/garnetlanding/config/operator.py
@@ -10,6 +10,7 @@
 from garnetlanding.store.setup import StoreSetup
 
 if TYPE_CHECKING:
+    from garnetlanding.choices.setup import ChoicesSetup
     from garnetlanding.history.setup import HistorySetup
     from garnetlanding.ninep.setup import Ninep
     from garnetlanding.peers.setup import FleetSetup
@@ -25,11 +26,12 @@
     store: StoreSetup = StoreSetup()
     history: HistorySetup | None = None
     fleet: FleetSetup | None = None
+    choices: ChoicesSetup | None = None
 
 
 def read_operator(data: object, settings: api.Settings, name: str) -> Operator:
     """Checks an operator's file; each subsystem reads its own section. Raises ConfigError."""
-    top = Section(data, "", "ninep telemetry store history fleet")
+    top = Section(data, "", "ninep telemetry store history fleet choices")
     ninep, telemetry, store = None, None, StoreSetup(writer=name)
     if top.has("ninep"):
         from garnetlanding.ninep import setup as ninep_setup
@@ -53,4 +55,9 @@
         from garnetlanding.peers import setup as peers_setup
 
         fleet = peers_setup.read_fleet(top.raw("fleet"))
-    return Operator(ninep, telemetry, store, history, fleet)
+    choices = None
+    if top.has("choices"):
+        from garnetlanding.choices import setup as choices_setup
+
+        choices = choices_setup.read(top.raw("choices"))
+    return Operator(ninep, telemetry, store, history, fleet, choices)
--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -80,6 +80,10 @@
         """Listed servers that are sent nothing."""
         return sum(self.endpoint(node) is None for node in self._entries)
 
+    def zones(self) -> dict[str, str]:
+        """The zone of each server that may be sent something."""
+        return {node: entry.zone for node, entry in self._entries.items() if self.endpoint(node)}
+
     def endpoint(self, node: str) -> str | None:
         """None for a server that drains, is gone or was never named: it may not be sent anything."""
         entry = self._entries.get(node)
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -31,6 +31,7 @@
 from garnetlanding.store.store import Entry, Store
 
 if TYPE_CHECKING:  # what is off is not imported
+    from garnetlanding.choices.setup import ChoicesSetup
     from garnetlanding.history.writer import History
     from garnetlanding.ninep.setup import Ninep
     from garnetlanding.ops.desk import Desk
@@ -113,6 +114,8 @@
             self.core.observers.append(self.history)
         if config.operator.fleet and config.peers:
             self._start_fleet(config.operator.fleet, config.peers)
+        if (chosen := config.operator.choices) and chosen.subset:
+            self._keep_some(chosen)
         ids: set[bytes] = set()
         front = self._listen("RESP2", config.listen, limits.client_conns, lambda write: RespMachine(
             self.core, self.bricks, self.pool, limits, ids, write,
@@ -163,6 +166,15 @@
         """An attempt, with the sweep after it, lasts no longer."""
         return self.limits.sweep_us + max(c.deadline_us for c in self.core.settings.classes.values())
 
+    def _keep_some(self, chosen: ChoicesSetup) -> None:
+        from garnetlanding.choices.kept import Kept
+
+        kept, core = Kept(chosen.subset), self.core
+        self.bricks.outside_idle_us = chosen.idle_us
+        self.bricks.keeps = lambda: kept.look(
+            core.settings.me, self.group.members.entitled if self.group else range(core.settings.hosts),
+            core.directory.zones())
+
     def _hear_bans(self, fleet: Fleet) -> None:
         """Where no operator is heard: what other heads' operators said, for as long as this process lives."""
         self.scheduler.call_at(self.scheduler.now + fleet.limits.look_us, lambda: self._hear_bans(fleet))
@@ -180,6 +192,8 @@
         """With the classes that exports derive from those of the settings, and this process's part."""
         # A writer's settings hold at every head, but for the number of each.
         settings = replace(settings, part=self.part, me=self.config.settings.me)
+        if self.config.operator.choices:
+            settings = self.config.operator.choices.used(settings)
         ninep = self.config.operator.ninep
         if not ninep or not any(export.writable for export in ninep.exports.values()):
             return settings
--- a/garnetlanding/lab/checks.py
+++ b/garnetlanding/lab/checks.py
@@ -7,7 +7,13 @@
 from garnetlanding.lab.experiment import BRICK_FAULTS, PROCESS_FAULTS, UPGRADES, Experiment, Fault
 from garnetlanding.lab.figures import began
 from garnetlanding.lab.findings import Findings
-from garnetlanding.lab.fleet_checks import budgets_held, heads_found, places_held, settings_followed
+from garnetlanding.lab.fleet_checks import (
+    budgets_held,
+    choices_held,
+    heads_found,
+    places_held,
+    settings_followed,
+)
 from garnetlanding.lab.heads import SETTINGS, above
 from garnetlanding.lab.history import Line
 from garnetlanding.lab.limits import LIMITS, SECOND
@@ -96,6 +102,7 @@
     budgets_held(experiment, lines, found)
     places_held(experiment, lines, found)
     settings_followed(experiment, lines, found)
+    choices_held(experiment, lines, found)
     return found
 
 
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from garnetlanding.choices import setup as choices_setup
 from garnetlanding.config.section import ConfigError, Section
 from garnetlanding.lab.limits import LIMITS, SECOND
 
@@ -79,6 +80,7 @@
     group: int = 0  # heads find each other from the first so many; 0: each is told all of them
     budgets: bool = False  # what all heads share moves by leases
     server_connections: int = 0  # at one brick, of all heads; 0: each head for itself
+    choices: dict[str, Any] = field(default_factory=dict)  # the operator's section
     store: bool = False  # settings come from n0, the writer of a store that the others follow
 
 
@@ -132,7 +134,7 @@
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
     top = Section(data, "", "name seed heads bricks length_s load settings fault fleet group budgets "
-                  "server_connections store")
+                  "server_connections store choices")
     heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
@@ -161,7 +163,16 @@
     if places and not flags["budgets"]:
         raise ConfigError("key server_connections: only with budgets = true")
     return Experiment(top.text("name"), int(top.number("seed", 0, 1)), heads, bricks, length_us, load,
-                      settings, faults, group=group, server_connections=places, **flags)
+                      settings, faults, group=group, server_connections=places,
+                      choices=_choices(top), **flags)
+
+
+def _choices(top: Section) -> dict[str, Any]:
+    """Checked as a head would, before any is started."""
+    if not top.has("choices"):
+        return {}
+    choices_setup.read(top.raw("choices"))
+    return Section(top.raw("choices"), "choices").data
 
 
 def load(path: str) -> Experiment:
--- a/garnetlanding/lab/findings.py
+++ b/garnetlanding/lab/findings.py
@@ -23,6 +23,7 @@
     evens_most: float = 0.0  # greatest sum of the heads' even parts of what all share
     cold_most: float = 0.0  # of what a cold brick bears, the greatest part sent to one within its window
     places_most: int = 0  # connections of all heads at one brick, at once
+    kept: int = 0  # connections of all heads to all bricks, once the last request was answered
     broken: list[str] = field(default_factory=list)
 
     @property
--- a/garnetlanding/lab/fleet_checks.py
+++ b/garnetlanding/lab/fleet_checks.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 
 from garnetlanding.lab.experiment import Experiment
 from garnetlanding.lab.findings import Findings
 from garnetlanding.lab.heads import SETTINGS, above
 from garnetlanding.lab.history import Line
-from garnetlanding.lab.limits import LIMITS
+from garnetlanding.lab.limits import LIMITS, SECOND
 
 
 def heads_found(experiment: Experiment, lines: list[Line], found: Findings) -> None:
@@ -88,3 +88,18 @@
     for head, (_, _, digest) in sorted(last.items()):
         if head not in left and "n0" in last and digest != last["n0"][2]:
             found.broken.append(f"settings: {head} has not the writer's at the end")
+
+
+def choices_held(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """Further attempts, over all heads, stay within the budget of each added up."""
+    found.kept = sum(line["count"] for line in lines if line["what"] == "kept")
+    share, free = experiment.choices.get("resend_share", 0), experiment.choices.get("resend_free", 0)
+    if not (share or free):
+        return
+    span = experiment.choices.get("resend_span_s", 10) * SECOND
+    spans = 1 + (experiment.length_us + experiment.load.wait_us) / span
+    ran = Counter(line["id"] for line in lines if line["what"] == "ran")
+    further, lives = sum(times - 1 for times in ran.values()), sum(found.lives.values())
+    if further > share * found.asked + free * lives * spans:
+        found.broken.append(f"attempts: {further} further ones, the budgets allow "
+                            f"{share * found.asked + free * lives * spans:.0f}")
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -44,6 +44,8 @@
     """`wall`: a file that says how far the head's wall clock is off; `store`: where the writer listens, or is
     reached."""
     lines = ["[history]", f"file = {json.dumps(history)}", f"wall_file = {json.dumps(wall)}"]
+    if experiment.choices:
+        lines += ["[choices]", *(f"{key} = {json.dumps(value)}" for key, value in experiment.choices.items())]
     if experiment.fleet:
         lines += ["[fleet]", f"budgets = {json.dumps(experiment.budgets)}"]
     if experiment.server_connections:
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -58,7 +58,8 @@
                 "asked": f.asked, "outcomes": dict(f.outcomes), "attempts": f.attempts,
                 "over": round(f.over, 2), "used": round(f.used, 3),
                 "parts_most": round(f.parts_most, 3), "evens_most": round(f.evens_most, 3),
-                "cold_most": round(f.cold_most, 3), "places_most": f.places_most, "lives": f.lives,
+                "cold_most": round(f.cold_most, 3), "places_most": f.places_most, "kept": f.kept,
+                "lives": f.lives,
                 "doubts": f.doubts, "doubts_unfounded": f.doubts_unfounded,
                 "links": self.fates, "costs": self.costs, "broken": f.broken}
 
@@ -120,6 +121,8 @@
                     raise LabError("the clients did not come to an end")
             if self._clients.code:
                 raise LabError(f"the clients ended with code {self._clients.code}: see clients.log")
+            for brick in self._world.bricks:
+                self._note("kept", brick=brick.number, count=len(brick.conns))
             costs = {f"n{me}": cost for me, head in enumerate(self._heads) if (cost := head.cost())}
         finally:
             self._end()
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -185,6 +185,9 @@
         self.count = 0
         self.part = 1.0  # of the connections, to be kept to while another process has the rest
         self.places: Places | None = None  # where all heads together have so many at one server
+        # Where idle connections are kept to some servers only: which, and for how long to others.
+        self.keeps: Callable[[], frozenset[str]] | None = None
+        self.outside_idle_us = limits.brick_idle_us
         self.borrow: Callable[[], bool] = lambda: True  # asked for a place beyond those that are its own
         self.faults: Counter[tuple[str, str]] = Counter()  # by server and cause, since the last sweep
         scheduler.call_at(scheduler.now + limits.sweep_us, self._sweep)
@@ -303,8 +306,11 @@
         for key in list(self._idle):
             self._keep_to_places(key)
         old = self.scheduler.now - self.limits.brick_idle_us
+        keeps = self.keeps() if self.keeps else None
+        other = self.scheduler.now - self.outside_idle_us
         for conns in list(self._idle.values()):
-            for conn in [c for c in conns if c.idle_since <= old]:
+            for conn in [c for c in conns if c.idle_since <= (
+                    old if keeps is None or c.node in keeps else other)]:
                 conn.close()
         for key in [k for k, conns in self._conns.items() if not conns]:
             del self._conns[key]
