--- /dev/null
+++ b/garnetlanding/audit/audited.py
@@ -0,0 +1,22 @@
+"""The decision module with the audit before it: what holds is recorded before the module decides by it."""
+
+from __future__ import annotations
+
+from garnetlanding.audit.recorder import Recorder
+from garnetlanding.core.ports import Module
+from garnetlanding.decision import interface as api
+
+
+class Audited:
+    """Stands where the module stood."""
+
+    def __init__(self, module: Module, recorder: Recorder) -> None:
+        self.module, self.recorder = module, recorder
+
+    @property
+    def s(self) -> api.Settings:
+        return self.module.s
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
+        self.recorder.look(now)
+        return self.module.handle(now, events)
--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -240,6 +240,71 @@
         return _say(WRONG, f"lab: {problem}")
 
 
+@commands.group()
+def audit() -> None:
+    """Read the audits of many heads: files, or folders of them (`[audit]` of their operators' files)."""
+
+
+PLACES = click.argument("places", nargs=-1, required=True, type=click.Path(exists=True))
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
+
+
+def _audited(command: str, *words: Any) -> int:
+    from garnetlanding.audit import report
+
+    try:
+        return int(getattr(report, command)(*words))
+    except (OSError, ValueError) as problem:
+        return _say(WRONG, f"audit: {problem}")
+
+
+@audit.command("show")
+@PLACES
+@click.option("--chart", metavar="FILE", help="Draw versions by head over time as PNG.")
+@AS_JSON
+def audit_show(places: tuple[str, ...], chart: str | None, as_json: bool) -> int:
+    """Show which head acted on what, from when to when."""
+    return _audited("show", places, as_json, chart)
+
+
+@audit.command("merge")
+@PLACES
+@click.option("--out", metavar="FILE", required=True, help="A span a line, by time.")
+def audit_merge(places: tuple[str, ...], out: str) -> int:
+    """Put the audits of many heads into one file: the same for any order of theirs."""
+    return _audited("merge", places, out)
+
+
+@audit.command("who")
+@PLACES
+@click.option("--at", "when", metavar="TIME", help="Who acted on what then (2026-12-02T01:30:00Z, or ms).")
+@click.option("--version", metavar="COMPONENT=VERSION", help="Who acted on that (settings=5.2, list=41).")
+@AS_JSON
+def audit_who(places: tuple[str, ...], when: str | None, version: str | None, as_json: bool) -> int:
+    """Ask who acted on what at a time, or on a version. The exit code is 1 where nobody did."""
+    if (when is None) == (version is None):
+        return _say(WRONG, "audit: one of --at and --version")
+    return _audited("who", places, when, version, as_json)
+
+
+@audit.command("lag")
+@PLACES
+@click.option("--component", default="settings", show_default=True, help="settings, list, bans, heads, code.")
+@AS_JSON
+def audit_lag(places: tuple[str, ...], component: str, as_json: bool) -> int:
+    """Show how each version spread: who had it first, who left the one before last, and why it was late."""
+    return _audited("lag", places, component, as_json)
+
+
+@audit.command("verify")
+@PLACES
+@click.option("--head", "heads", metavar="NAME", multiple=True, help="A head that must have files.")
+@AS_JSON
+def audit_verify(places: tuple[str, ...], heads: tuple[str, ...], as_json: bool) -> int:
+    """Check sums, chains and order. The exit code is 1 where something does not fit."""
+    return _audited("verify", places, heads, as_json)
+
+
 def _say(code: int, problem: str) -> int:
     click.echo(f"garnetlanding: {problem}", err=True)
     return code
--- a/garnetlanding/config/operator.py
+++ b/garnetlanding/config/operator.py
@@ -10,6 +10,7 @@
 from garnetlanding.store.setup import StoreSetup
 
 if TYPE_CHECKING:
+    from garnetlanding.audit.setup import AuditSetup
     from garnetlanding.choices.setup import ChoicesSetup
     from garnetlanding.history.setup import HistorySetup
     from garnetlanding.ninep.setup import Ninep
@@ -27,11 +28,12 @@
     history: HistorySetup | None = None
     fleet: FleetSetup | None = None
     choices: ChoicesSetup | None = None
+    audit: AuditSetup | None = None
 
 
 def read_operator(data: object, settings: api.Settings, name: str) -> Operator:
     """Checks an operator's file; each subsystem reads its own section. Raises ConfigError."""
-    top = Section(data, "", "ninep telemetry store history fleet choices")
+    top = Section(data, "", "ninep telemetry store history fleet choices audit")
     ninep, telemetry, store = None, None, StoreSetup(writer=name)
     if top.has("ninep"):
         from garnetlanding.ninep import setup as ninep_setup
@@ -60,4 +62,9 @@
         from garnetlanding.choices import setup as choices_setup
 
         choices = choices_setup.read(top.raw("choices"))
-    return Operator(ninep, telemetry, store, history, fleet, choices)
+    audit = None
+    if top.has("audit"):
+        from garnetlanding.audit import setup as audit_setup
+
+        audit = audit_setup.read(top.raw("audit"))
+    return Operator(ninep, telemetry, store, history, fleet, choices, audit)
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -34,6 +34,7 @@
 
 log = logging.getLogger(__name__)
 
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.UNREACHABLE, api.Outcome.MOOT)
 DEADLINE_GRACE_US = 2_000  # the controller answers a time-out first; after this the core does
 
 
@@ -111,6 +112,9 @@
         self._open_bytes = 0
         self.open = 0  # items not yet answered
         self.part = 1.0  # of the head's room, to be kept to while another process has the rest
+        self.may_act: Callable[[int], bool] | None = None  # where it has to show that it is current
+        self.out = False  # it can't: nothing is sent
+        self.on_out: list[Callable[[bool], None]] = []
 
     @property
     def now(self) -> int:
@@ -133,7 +137,7 @@
         self.open += 1
         self._open_bytes += ask.size
         self._items[item.ticket] = item
-        if self.used > self.part:
+        if self.used > self.part or self.out:
             # The head's own room, not a server's: the one refusal that is not the controller's.
             self._finish(item, Refused(self._settings.max_hold_off_us))
         else:
@@ -228,6 +232,8 @@
 
     def turn(self) -> None:
         """Gives the controller what has come in and does what it says, until nothing is left."""
+        if self.may_act:
+            self._look_out(self.may_act)
         while self._events:
             events, self._events = self._events, []
             try:
@@ -243,6 +249,25 @@
                     # The actions behind it concern other items, and are still to be done.
                     log.exception("action failed")
 
+    def _look_out(self, may_act: Callable[[int], bool]) -> None:
+        """Before anything is sent in this turn: a head that wakes after a stall finds that it may not act."""
+        out = not may_act(self._timers.now)
+        if out == self.out:
+            return
+        self.out = out
+        log.warning("out, not current" if out else "current again", extra={"kv": {"open": self.open}})
+        if out:
+            for item in [i for i in self._items.values() if i.answer is None and not i.out()]:
+                # What has not run, or may run again, can be had elsewhere; what is out is finished.
+                cls = self._settings.classes.get(item.ask.cls)
+                harmless = (cls is not None and cls.effect is api.Effect.SAFE
+                            or all(a.outcome in NEVER_RAN for a in item.attempts))
+                self._finish(item, Refused(self._settings.max_hold_off_us) if harmless
+                             else Failed("not current"))
+                self._events.append(api.ClientLeft(item.ticket))
+        for told in self.on_out:
+            told(out)
+
     def _perform(self, action: api.Action) -> None:
         match action:
             case api.Send():
@@ -281,7 +306,7 @@
         busy = len(item.out()) >= most
         item.attempts.append(attempt)
         # Never more at once than is allowed, never past the last attempt, never to a server that drains.
-        if (busy or item.answer is not None or now >= until or attempt.endpoint() is None
+        if (busy or self.out or item.answer is not None or now >= until or attempt.endpoint() is None
                 or attempt.number >= self._settings.max_attempts):
             attempt.ended(api.Outcome.MOOT)
             return
--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import replace
 
 from garnetlanding.core.ports import Listing
@@ -69,6 +70,11 @@
         self.banned = banned
         return [self.as_used(self._entries[node]) for node in changed if node in self._entries]
 
+    @property
+    def bans_digest(self) -> str:
+        """The same for the same servers taken out; empty where none is."""
+        return f"{zlib.crc32(' '.join(sorted(self.banned)).encode()):08x}" if self.banned else ""
+
     def knows(self, node: str) -> bool:
         return node in self._entries or node in self.banned
 
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -13,8 +13,9 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from garnetlanding import __version__
 from garnetlanding.config import Config, ConfigError, read_settings, reload
 from garnetlanding.core.core import Core
 from garnetlanding.decision import interface as api
@@ -31,6 +32,9 @@
 from garnetlanding.store.store import Entry, Store
 
 if TYPE_CHECKING:  # what is off is not imported
+    from garnetlanding.audit.files import AuditFiles
+    from garnetlanding.audit.recorder import Recorder
+    from garnetlanding.audit.setup import AuditSetup
     from garnetlanding.choices.setup import ChoicesSetup
     from garnetlanding.history.writer import History
     from garnetlanding.ninep.setup import Ninep
@@ -82,6 +86,9 @@
         self.core.listed(listing)
         self.watch.hold()
         self.link: PeerLink | None = None
+        self.audit: Recorder | None = None
+        self.audit_files: AuditFiles | None = None
+        self.settings_version = ""
         self.life = self._wall_ms()  # greater at each start, whatever the monotonic clock says
         self.history: History | None = None
         self._dropped: Counter[str] = Counter()  # messages of other heads, by cause
@@ -114,6 +121,10 @@
             self.core.observers.append(self.history)
         if config.operator.fleet and config.peers:
             self._start_fleet(config.operator.fleet, config.peers)
+        if self.history or config.operator.audit:
+            self._note_settings(self.store.get(SETTINGS, config.raw_settings))
+        if config.operator.audit:
+            self._start_audit(config.operator.audit)
         if (chosen := config.operator.choices) and chosen.subset:
             self._keep_some(chosen)
         ids: set[bytes] = set()
@@ -207,8 +218,36 @@
         if setup.role == "writer":
             self._listen("followers", setup.address, self.limits.store_followers,
                          lambda write: WriterMachine(self.store, self.scheduler, self.limits, write))
-        else:
-            Follower(self.scheduler, setup.address, self.store, self.pool, self.limits)
+            return
+        currency = None
+        if setup.current_us:
+            from garnetlanding.store.currency import Currency
+
+            currency = Currency(setup.current_us, setup.drift, self.scheduler.now)
+            self.core.may_act = currency.current
+            self.core.on_out.append(self._stand_back)
+        Follower(self.scheduler, setup.address, self.store, self.pool, self.limits, currency)
+
+    def _stand_back(self, out: bool) -> None:
+        if self.talk:
+            self.talk.stand_back(out, self.scheduler.now)
+        if self.history:
+            self.history.note("current", out=out, at=self.scheduler.now)
+
+    def _start_audit(self, setup: AuditSetup) -> None:
+        """Before anything else stands round the module: it sees what the module decides by."""
+        from garnetlanding.audit.start import start
+
+        core = self.core
+        sources: dict[str, Callable[[], str]] = {
+            "code": lambda: __version__, "settings": lambda: self.settings_version,
+            "list": lambda: str(self.watch.version), "bans": lambda: core.directory.bans_digest,
+            "out": lambda: "not current" if core.out else ""}
+        if self.group:
+            members = self.group.members
+            sources["heads"] = lambda: members.digest.hex()
+        self.audit, self.audit_files = start(
+            setup, core, sources, self.config.name, self.life, self._wall_ms, lambda: self.talk)
 
     def _start_ninep(self, ninep: Ninep) -> None:
         from garnetlanding.ninep.client import file_servers
@@ -342,6 +381,14 @@
         store.watchers.append(self._store_changed)
         return store
 
+    def _note_settings(self, raw: dict[str, Any]) -> None:
+        """Which settings hold from now on, for what asks by version."""
+        digest = zlib.crc32(json.dumps(raw, sort_keys=True).encode())
+        self.settings_version = f"{self.store.epoch}.{self.store.revision}#{digest:08x}"
+        if self.history:
+            self.history.note("settings", epoch=self.store.epoch, revision=self.store.revision, digest=digest,
+                              at=self.scheduler.now)
+
     def _store_changed(self, entry: Entry | None) -> None:
         """The store says which settings hold: those of a reload here, or of the writer's."""
         raw = self.store.get(SETTINGS)
@@ -351,11 +398,11 @@
             self.core.settings_changed(self._as_used(read_settings(raw)))
         except ConfigError as problem:
             log.error("settings not taken, the old ones stand", extra={"kv": {"why": problem}})
+            if self.audit:
+                self.audit.refused(self.scheduler.now, "settings", str(problem))
         else:
             log.info("settings taken")
-            if self.history:
-                self.history.note("settings", epoch=self.store.epoch, revision=self.store.revision,
-                                  digest=zlib.crc32(json.dumps(raw, sort_keys=True).encode()))
+            self._note_settings(raw)
             self.watch.hold()
             self._place_link()
 
@@ -439,6 +486,9 @@
                 scheduler.sleep(limits.term_look_us)
         if self.link and self.talk:
             self.talk.leave(scheduler.now, self.link.tell)
+        if self.audit and self.audit_files:
+            self.audit.end(scheduler.now)
+            self.audit_files.close()
         if self.lives:
             self.lives.close()
         scheduler.stop()
--- a/garnetlanding/discovery/watch.py
+++ b/garnetlanding/discovery/watch.py
@@ -104,6 +104,11 @@
             self._stream.close()
         self._scheduler.spawn(lambda: self._follow(call))
 
+    @property
+    def version(self) -> int:
+        """Of the list that stands."""
+        return self._version
+
     def _tell(self, version: int, listing: Listing, data: dict[str, Any]) -> None:
         if version < self._version and listing.entries and not listing.whole:
             # Changes of an older list than the one that stands would bring back what is gone. The old list
--- a/garnetlanding/lab/checks.py
+++ b/garnetlanding/lab/checks.py
@@ -10,6 +10,7 @@
 from garnetlanding.lab.fleet_checks import (
     budgets_held,
     choices_held,
+    current_held,
     heads_found,
     places_held,
     settings_followed,
@@ -51,9 +52,11 @@
     return (min(again) + LIMITS.send_us) if again else NEVER
 
 
-def _ups(lines: list[Line]) -> dict[int, list[int]]:
-    """When each head's processes could be used, after the clients began."""
-    first, found = began(lines), defaultdict[int, list[int]](list)
+def _ups(lines: list[Line], by_id: dict[str, Request]) -> dict[int, list[int]]:
+    """When each head's processes could be used, after the clients began: each asks at its time or later."""
+    found = defaultdict[int, list[int]](list)
+    first = min((line["t"] - by_id[line["id"]].at_us for line in lines if line["what"] == "asked"
+                 and line["id"] in by_id), default=0)
     for line in lines:
         if line["what"] == "up":
             found[int(line["who"][1:])].append(line["t"] - first)
@@ -89,7 +92,7 @@
                         found.twins_most = max(found.twins_most, total)
                     else:
                         found.parts_most = max(found.parts_most, total)
-    _answers(experiment, by_id, answers, _ups(lines), found)
+    _answers(experiment, by_id, answers, _ups(lines, by_id), found)
     _attempts(experiment, lines, found)
     if found.twins_most > 1 + 1 / experiment.load.hosts + LIMITS.parts_slack:
         found.broken.append(f"parts: beside a twin a volume's add up to {found.twins_most:.3f}")
@@ -103,6 +106,7 @@
     places_held(experiment, lines, found)
     settings_followed(experiment, lines, found)
     choices_held(experiment, lines, found)
+    current_held(experiment, lines, found)
     return found
 
 
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -81,6 +81,8 @@
     budgets: bool = False  # what all heads share moves by leases
     server_connections: int = 0  # at one brick, of all heads; 0: each head for itself
     choices: dict[str, Any] = field(default_factory=dict)  # the operator's section
+    audit: bool = False  # heads record what they act on; compared with their histories
+    current_s: float = 0.0  # a follower of the store that can't show that it is so current does not act
     store: bool = False  # settings come from n0, the writer of a store that the others follow
 
 
@@ -134,7 +136,7 @@
 def read(data: object) -> Experiment:
     """Raises ConfigError, which names the key."""
     top = Section(data, "", "name seed heads bricks length_s load settings fault fleet group budgets "
-                  "server_connections store choices")
+                  "server_connections store choices audit current_s")
     heads = int(top.number("heads", 1, 3, LIMITS.heads))
     bricks = int(top.number("bricks", 1, 2, 64))
     length_us = int(top.number("length_s", 0.5, 6, 3600) * SECOND)
@@ -151,7 +153,7 @@
     faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
                    for i, one in enumerate(listed))
     settings = Section(top.raw("settings") or {}, "settings").data
-    flags = {"fleet": True, "budgets": False, "store": False}
+    flags = {"fleet": True, "budgets": False, "store": False, "audit": False}
     flags |= {key: top.raw(key) for key in flags if top.has(key)}
     for key, value in flags.items():
         if not isinstance(value, bool):
@@ -164,7 +166,7 @@
         raise ConfigError("key server_connections: only with budgets = true")
     return Experiment(top.text("name"), int(top.number("seed", 0, 1)), heads, bricks, length_us, load,
                       settings, faults, group=group, server_connections=places,
-                      choices=_choices(top), **flags)
+                      current_s=_current_s(top), choices=_choices(top), **flags)
 
 
 def _choices(top: Section) -> dict[str, Any]:
@@ -175,6 +177,12 @@
     return Section(top.raw("choices"), "choices").data
 
 
+def _current_s(top: Section) -> float:
+    if top.has("current_s") and not top.raw("store"):
+        raise ConfigError("key current_s: only with store = true")
+    return top.number("current_s", 0, 0, 60)
+
+
 def load(path: str) -> Experiment:
     """Raises ConfigError, which names the file and the key."""
     try:
--- a/garnetlanding/lab/findings.py
+++ b/garnetlanding/lab/findings.py
@@ -24,6 +24,8 @@
     cold_most: float = 0.0  # of what a cold brick bears, the greatest part sent to one within its window
     places_most: int = 0  # connections of all heads at one brick, at once
     kept: int = 0  # connections of all heads to all bricks, once the last request was answered
+    old_us: int = 0  # the longest that a head sent on settings after newer ones had been made
+    audited: int = 0  # attempts whose settings the audit was asked for
     broken: list[str] = field(default_factory=list)
 
     @property
--- a/garnetlanding/lab/heads.py
+++ b/garnetlanding/lab/heads.py
@@ -40,7 +40,7 @@
 
 
 def operators_file(experiment: Experiment, history: str, wall: str, seeds: list[str],
-                   routes: dict[str, str], store: str, writes: bool) -> str:
+                   routes: dict[str, str], store: str, writes: bool, audit: str) -> str:
     """`wall`: a file that says how far the head's wall clock is off; `store`: where the writer listens, or is
     reached."""
     lines = ["[history]", f"file = {json.dumps(history)}", f"wall_file = {json.dumps(wall)}"]
@@ -56,4 +56,8 @@
     if experiment.store:
         role = "writer" if writes else "follower"
         lines += ["[store]", f"role = {json.dumps(role)}", 'writer = "n0"', f"address = {json.dumps(store)}"]
+        if experiment.current_s and not writes:
+            lines.append(f"current_s = {experiment.current_s}")
+    if experiment.audit:
+        lines += ["[audit]", f"folder = {json.dumps(audit)}", "checkpoint_s = 1"]
     return "\n".join(lines) + "\n"
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 
-from garnetlanding.lab import checks, heads, history, plan
+from garnetlanding.lab import audits, checks, heads, history, plan
 from garnetlanding.lab.experiment import (
     CALLS,
     CLOCKS,
@@ -59,6 +59,7 @@
                 "over": round(f.over, 2), "used": round(f.used, 3),
                 "parts_most": round(f.parts_most, 3), "evens_most": round(f.evens_most, 3),
                 "cold_most": round(f.cold_most, 3), "places_most": f.places_most, "kept": f.kept,
+                "old_us": f.old_us, "audited": f.audited,
                 "lives": f.lives,
                 "doubts": f.doubts, "doubts_unfounded": f.doubts_unfounded,
                 "links": self.fates, "costs": self.costs, "broken": f.broken}
@@ -128,6 +129,8 @@
             self._end()
         lines = history.read(sorted(self._folder.glob("*.history")))
         findings = checks.check(e, requests, lines)
+        if e.audit:
+            audits.check(self._folder / "audit", lines, findings)
         for log in sorted(self._folder.glob("n*.log")):
             # What a head catches costs it what it was at, and shows in no history.
             findings.broken += [f"defect: {log.name}: {line[:LIMITS.line_shown]}"
@@ -152,7 +155,7 @@
             self._store_at[me] = self._tcp.place(Link("store", me), f"{self._net}.1", store)
         (self._folder / f"{name}.toml").write_text(heads.operators_file(
             e, str(self._folder / f"n{me}.history"), str(wall), own[:e.group], routes,
-            self._store_at.get(me, store), me == 0))
+            self._store_at.get(me, store), me == 0, str(self._folder / "audit")))
         return name
 
     def _discovery(self, me: int) -> str:
--- a/garnetlanding/ops/desk.py
+++ b/garnetlanding/ops/desk.py
@@ -45,7 +45,8 @@
         return not self._state.draining
 
     def ready(self) -> bool:
-        return self._told() and self._clients.accepting and self._clients.part > 0
+        return (self._told() and self._clients.accepting and self._clients.part > 0
+                and not self._core.out)
 
     def metrics(self) -> str:
         return self._core.metrics()
--- a/garnetlanding/ops/file.py
+++ b/garnetlanding/ops/file.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from garnetlanding.ops.state import OpsState, StateError, decode, encode, file_name
-from garnetlanding.runtime.files import replace_whole
+from garnetlanding.ops.state import OpsState, StateError, decode, encode
+from garnetlanding.runtime.files import file_name, replace_whole
 
 log = logging.getLogger(__name__)
 
--- a/garnetlanding/ops/lives.py
+++ b/garnetlanding/ops/lives.py
@@ -8,7 +8,7 @@
 import time
 
 from garnetlanding.ops.share import UNREADABLE, WORD_BYTES, Word, decode, encode, next_part
-from garnetlanding.ops.state import file_name
+from garnetlanding.runtime.files import file_name
 
 log = logging.getLogger(__name__)
 
--- a/garnetlanding/ops/state.py
+++ b/garnetlanding/ops/state.py
@@ -9,16 +9,10 @@
 import json
 import zlib
 from dataclasses import dataclass, replace
-from urllib.parse import quote
 
 VERSION = 1
 
 
-def file_name(head: str, what: str) -> str:
-    """Heads of other names may keep theirs in the same folder."""
-    return f"garnetlanding-{quote(head, safe='')}-{what}"
-
-
 class StateError(ValueError):
     """A state that cannot be used; the text says why."""
 
--- a/garnetlanding/peers/leases.py
+++ b/garnetlanding/peers/leases.py
@@ -199,6 +199,11 @@
             del self._sent[next(iter(self._sent))]
         return self._number
 
+    @property
+    def number(self) -> int:
+        """Of the last message."""
+        return self._number
+
     def last_heard(self, who: int) -> tuple[int, int]:
         """Life and number of the last message heard from a head."""
         peer = self.peers.get(who)
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -43,6 +43,7 @@
         self.fleet, self.group = fleet, group
         self._make_budgets, self.budgets = budgets, None if budgets is None else budgets(self.s, life, 0)
         self._turns = Turns(self.limits, module.s.me)
+        self.last_heard: list[int] = []  # head, life and number of the last message that was taken up
         self._out = False  # stands back: it has been put out, or replaced
 
     def take_over(self, now: int) -> None:
@@ -205,6 +206,18 @@
             why = str(problem)
         if why:
             self.dropped[why] += 1
+        else:
+            self.last_heard = [message.sender, e.life, e.number]
+
+    def stand_back(self, out: bool, now: int) -> None:
+        """This head is not current, or is again: while it is not, no part of anything is its own."""
+        if self._speaks and not self._out:
+            self._stand_back(NEVER if out else None, now)
+
+    @property
+    def said(self) -> int:
+        """The number of this head's last message."""
+        return self.leases.number if self.leases else 0
 
     def _texts(self, leases: Leases, now: int) -> list[api.Action]:
         divided = [(leases, codec.LEASES)]
--- a/garnetlanding/runtime/files.py
+++ b/garnetlanding/runtime/files.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import os
+from urllib.parse import quote
+
+
+def file_name(head: str, what: str) -> str:
+    """Heads of other names may keep theirs in the same folder."""
+    return f"garnetlanding-{quote(head, safe='')}-{what}"
 
 
 def replace_whole(path: str, data: bytes) -> None:
--- a/garnetlanding/store/replica.py
+++ b/garnetlanding/store/replica.py
@@ -3,6 +3,8 @@
 A line is one JSON object. The follower begins with {"follow": [epoch, revision]}; the writer answers
 {"writer": [name, epoch]}, then, where the follower cannot go on from its revision, {"snapshot": [revision,
 values]}, then {"entry": [revision, key, value]} for every change, and {"at": revision} when nothing changes.
+A follower that has to show that it is current sends {"ask": number}, which is answered {"re": [number,
+revision]}.
 """
 
 from __future__ import annotations
@@ -16,6 +18,7 @@
 from garnetlanding.runtime.buffers import BufferPool, PoolEmpty
 from garnetlanding.runtime.scheduler import Expired, Scheduler, Timer
 from garnetlanding.runtime.stream import Closed, Stream
+from garnetlanding.store.currency import Currency
 from garnetlanding.store.store import Entry, Gap, Snapshot, Stale, Store
 
 log = logging.getLogger(__name__)
@@ -86,6 +89,9 @@
         match message:
             case {"follow": [int() as epoch, int() as revision]} if not self._following:
                 pass
+            case {"ask": int() as number} if self._following:
+                self._write(_line("re", number, self._store.revision))
+                return
             case _:
                 raise ReplicaError("expected one follow")
         store = self._store
@@ -118,8 +124,8 @@
 class FollowerMachine:
     """The follower's end. Raises what makes its connection useless."""
 
-    def __init__(self, store: Store, limits: Limits) -> None:
-        self._store = store
+    def __init__(self, store: Store, limits: Limits, currency: Currency | None = None) -> None:
+        self._store, self._currency = store, currency
         self._lines = _Lines(limits.store_line_bytes)
         self._epoch = -1  # of the writer on this connection, once it has said so
 
@@ -127,6 +133,10 @@
         """`afresh` asks for a snapshot whatever is held."""
         return _line("follow", self._store.epoch, -1 if afresh else self._store.revision)
 
+    @staticmethod
+    def ask(number: int) -> bytes:
+        return _line("ask", number)
+
     def feed(self, data: bytes | memoryview) -> None:
         for message in self._lines.feed(data):
             self._take(message)
@@ -144,20 +154,29 @@
             case {"entry": [int() as revision, str() as key, value]}:
                 store.apply(self._epoch, Entry(revision, key, value))
             case {"at": int() as revision}:
-                if (self._epoch, revision) != (store.epoch, store.revision):
-                    raise Gap(f"the writer is at {revision}, this store at {store.revision}")
+                self._check(revision)
+            case {"re": [int() as number, int() as revision]} if self._currency:
+                self._check(revision)
+                self._currency.answered(number)
             case _:
                 raise ReplicaError("unknown message")
 
 
+    def _check(self, revision: int) -> None:
+        store = self._store
+        if (self._epoch, revision) != (store.epoch, store.revision):
+            raise Gap(f"the writer is at {revision}, this store at {store.revision}")
+
+
 class Follower:
     """Keeps a follower connected: resumes by revision, and asks for a snapshot after a gap."""
 
     def __init__(self, scheduler: Scheduler, address: str, store: Store, pool: BufferPool,
-                 limits: Limits) -> None:
+                 limits: Limits, currency: Currency | None = None) -> None:
         self._scheduler, self._address, self._store = scheduler, address, store
-        self._pool, self._limits = pool, limits
+        self._pool, self._limits, self._currency = pool, limits, currency
         self.connected = False
+        self._asking: Timer | None = None
         scheduler.spawn(self._run)
 
     def _run(self) -> None:
@@ -179,13 +198,22 @@
         try:
             stream = Stream.connect(scheduler, self._address, self._pool, limits,
                                     scheduler.now + limits.store_quiet_us)
-            machine = FollowerMachine(self._store, limits)
+            machine = FollowerMachine(self._store, limits, self._currency)
             stream.write(machine.hello(afresh))
+            if self._currency:
+                self._ask(stream, self._currency)
             while stream.read(machine.feed, scheduler.now + limits.store_quiet_us):
                 self.connected = True
             return Closed("ended")
         except (OSError, Expired, Closed, PoolEmpty, ReplicaError, Gap, Stale) as problem:
             return problem
         finally:
+            if self._asking:
+                self._asking.cancel()
             if stream:
                 stream.close()
+
+    def _ask(self, stream: Stream, currency: Currency) -> None:
+        now = self._scheduler.now
+        stream.write(FollowerMachine.ask(currency.ask(now)))
+        self._asking = self._scheduler.call_at(now + currency.every_us, lambda: self._ask(stream, currency))
--- a/garnetlanding/store/setup.py
+++ b/garnetlanding/store/setup.py
@@ -6,6 +6,8 @@
 
 from garnetlanding.config.section import ConfigError, Section
 
+SHORTEST_S, LONGEST_S = 0.5, 3600.0  # of `current_s`: several questions and answers fit
+
 
 @dataclass(frozen=True, slots=True)
 class StoreSetup:
@@ -15,11 +17,13 @@
     writer: str = ""  # the name of the one writer
     address: str = ""  # where the writer listens for followers
     file: str = ""
+    current_us: int = 0  # a follower that can't show that it is so current does not act; 0: it always does
+    drift: float = 0.01  # of its clock and the writer's, the most in each second
 
 
 def read(data: object, name: str) -> StoreSetup:
     """`name` is this head's own. Raises ConfigError."""
-    section = Section(data, "store", "role writer address file")
+    section = Section(data, "store", "role writer address file current_s")
     role = section.one_of("role", ("alone", "writer", "follower"))
     if role == "alone":
         return StoreSetup(role, name, file=section.text("file", ""))
@@ -27,4 +31,10 @@
     if (writer == name) != (role == "writer"):
         raise ConfigError(f"key {section.name('writer')}: {writer!r:.40} does not go with the role {role} "
                           f"of {name!r:.40}")
-    return StoreSetup(role, writer, section.address("address"), section.text("file", ""))
+    current_s = section.number("current_s", 0, 0, LONGEST_S)
+    if current_s and role != "follower":
+        raise ConfigError(f"key {section.name('current_s')}: only of a follower")
+    if current_s and current_s < SHORTEST_S:
+        raise ConfigError(f"key {section.name('current_s')}: at least {SHORTEST_S:g}, or 0")
+    return StoreSetup(role, writer, section.address("address"), section.text("file", ""),
+                      int(current_s * 1_000_000))
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -16,7 +16,7 @@
 from garnetlanding.emulator.discovery import Box
 from garnetlanding.ops.lives import Lives
 from garnetlanding.ops.share import LEAST, UNREADABLE, Word, decode, encode, next_part
-from garnetlanding.ops.state import file_name
+from garnetlanding.runtime.files import file_name
 from tests.helpers import MS, SECOND, T0, Bench, Peer, World, read_command, settings, up
 from tests.test_daemon import BASE
 
