--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
+from garnetlanding.emulator.verdict_model import Scope, explore
 from garnetlanding.emulator.verdict_net import Net, Run, until_left
 
+SCOPES = (Scope(heads=2, steps=4), Scope(heads=3, steps=2))
 HEADS = (4, 8, 16, 32, 64, 100)
 RESULTS = pathlib.Path(__file__).parent / "results" / "verdicts.md"
 
@@ -46,6 +48,12 @@
              "served in the 10 s after a third of the servers is lost, untold", "told")
     lines = ["| " + " | ".join(names) + " |", "| --- " * len(names) + "|"]
     lines += ["| " + " | ".join(row) + " |" for row in rows(seeds)]
+    lines += ["", "| explored whole | steps | states | moves | of them with a doubt | laws broken |",
+              "| --- " * 6 + "|"]
+    for scope in SCOPES:
+        found = explore(scope)
+        name = f"{scope.heads} heads{'' if found.whole else ', given up'}"
+        lines.append(f"| {name} | {scope.steps} | {found.states} | {found.moves} | {found.doubts} | {found.wrong or 'none'} |")
     RESULTS.write_text(f"""# Verdicts: a server falls silent for 8 s
 
 `python -m benchmarks.verdicts --seeds {seeds}`: simulated, 8 servers, 60 requests a second each,
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -213,6 +213,7 @@
         return with_twins(settings, (e.change_cls for e in ninep.exports.values() if e.writable))
 
     def _replicate(self, setup: StoreSetup) -> None:
+        from garnetlanding.choices.turns import turn
         from garnetlanding.store.replica import Follower, WriterMachine
 
         if setup.role == "writer":
@@ -226,7 +227,9 @@
             currency = Currency(setup.current_us, setup.drift, self.scheduler.now)
             self.core.may_act = currency.current
             self.core.on_out.append(self._stand_back)
-        Follower(self.scheduler, setup.address, self.store, self.pool, self.limits, currency)
+        s = self.core.settings
+        Follower(self.scheduler, setup.address, self.store, self.pool, self.limits, currency,
+                 turn(s.me, s.hosts, "store"))
 
     def _stand_back(self, out: bool) -> None:
         if self.talk:
--- a/garnetlanding/emulator/group_net.py
+++ b/garnetlanding/emulator/group_net.py
@@ -39,7 +39,6 @@
     group: Group
     turns: Turns
     life: int
-    number: int = 0
 
 
 @dataclass(slots=True)
@@ -154,10 +153,9 @@
 
     def _tell(self, me: int, heads: dict[int, tuple[int, int]]) -> None:
         net, node = self.net, self.nodes[me]
-        node.number += 1
         calm = self.now >= net.length_us - net.calm_us
         seeds = {at: head for head, at in ((n, address(n)) for n in range(net.heads))}
-        for who, e in node.group.say(heads, node.life, node.number):
+        for who, e in node.group.say(heads, node.life, lambda: 1):
             receiver = seeds[node.group.members.reach(who)] if who >= FIRST_SEED else who
             data = codec.seal(e)
             self.seen.bytes += len(data)
--- a/garnetlanding/peers/group.py
+++ b/garnetlanding/peers/group.py
@@ -20,7 +20,6 @@
         """`note` writes a history's line."""
         self.limits, self.members, self._note = limits, members, note
         self._digests: dict[int, bytes] = {}  # of each head, as last heard from it
-        self._most = roll.fits(limits.datagram_bytes)
 
     def introduce(self, address: str, data: bytes) -> int | None:
         """Who sends from an address that nobody is known at: its own record says so, and names that one."""
@@ -66,13 +65,19 @@
             log.info("joined", extra={"kv": {"heads": len(self.members.entitled)}})
             self._say_so()
 
-    def say(self, heads: dict[int, tuple[int, int]], life: int, number: int) -> list[tuple[int, Envelope]]:
-        """One message to each. `heads`: life and number of the last message heard from each."""
-        members, told = self.members, []
+    def say(self, heads: dict[int, tuple[int, int]], life: int,
+            sending: Callable[[], int]) -> list[tuple[int, Envelope]]:
+        """One message to each, or a few. `heads`: life and number of the last message heard from each;
+        `sending` gives the number of another message."""
+        members, told, limits = self.members, list[tuple[int, Envelope]](), self.limits
+        numbers: list[int] = []  # of the first message to each head, of the second, and so on
         for who, heard in heads.items():
-            records = members.tell(who, self._digests.get(who), self._most)
-            said = roll.Roll(members.digest, tuple(records), members.joined)
-            told.append((who, roll.envelope(said, life, number, *heard)))
+            records = members.tell(who, self._digests.get(who))
+            for i, page in enumerate(roll.pages(records, limits.datagram_bytes, limits.roll_pages)):
+                if i == len(numbers):
+                    numbers.append(sending())
+                said = roll.Roll(members.digest, tuple(page), members.joined)
+                told.append((who, roll.envelope(said, life, numbers[i], *heard)))
         return told
 
     def say_out(self, why: str) -> None:
--- a/garnetlanding/peers/limits.py
+++ b/garnetlanding/peers/limits.py
@@ -18,6 +18,8 @@
     near: int = 4  # other heads that are told so often, in turn: with more, each has its turn more seldom
     partners: int = 12  # and so many beside them, that ask for the same volumes: a head's cost has a bound
     begin_us: int = 5 * SECOND  # without a word of a group: the seeds begin one together
+    roll_pages: int = 3  # datagrams of records to one head in a round, where its table differs
+    roll_turn: int = 24  # records that such a round passes, about
     heads: int = 1024  # records kept of them, of those that have gone too
     say_volumes: int = 120  # asked for at once, the busiest first
     lease_us: int = 1100 * MS  # a grant holds for so long: four messages in a row may be lost
--- a/garnetlanding/peers/members.py
+++ b/garnetlanding/peers/members.py
@@ -43,6 +43,7 @@
         self._sponsored = False  # one of them had joined
         self._joined = False
         self._told: dict[int, int] = {}  # by head, how many records it has been told in turn
+        self._news: dict[int, int] = {}  # by head, the later its record changed the greater
         self._digest: bytes | None = None
 
     # What is told and heard
@@ -69,6 +70,7 @@
                     # Nobody else can be there: an earlier life of this head, before its clock was set back.
                     self._own = record = self._own._replace(life=record.life + 1)
                 self.records[record.head] = record
+                self._news[record.head] = max(self._news.values(), default=0) + 1
                 self._digest = None
                 if known and known.life != record.life:
                     self._known_by.discard(record.head)  # its new life has to learn of this head itself
@@ -95,16 +97,19 @@
             begins = now >= self._begins_at and seeds <= self._known_by | {self.me}
             self._joined = self._sponsored or begins
 
-    def tell(self, who: int, digest: bytes | None, most: int) -> list[Record]:
-        """What goes to that head: this one's record, and others in turn where its table differs (`digest`: as
-        last heard from it)."""
+    def tell(self, who: int, digest: bytes | None) -> list[Record]:
+        """What goes to that head, as many of it as fit: this one's record, and where its table differs
+        (`digest`: as last heard from it) the others, news first every other time, so that they spread
+        like a rumour, and each in its turn."""
         mine = self.records[self.me]
         others = sorted(r for r in self.records.values() if r.head != self.me)
         if digest == self.digest or not others:
             return [mine]
-        begin = self._told.get(who, 0) % len(others)
-        self._told[who] = begin + most - 1
-        return [mine, *(others[begin:] + others[:begin])[:most - 1]]
+        self._told[who] = self._told.get(who, 0) + 1
+        if self._told[who] % 2:
+            return [mine, *sorted(others, key=lambda r: self._news.get(r.head, 0), reverse=True)]
+        begin = self._told[who] // 2 * self._limits.roll_turn % len(others)
+        return [mine, *others[begin:], *others[:begin]]
 
     def unmet(self, now: int) -> list[int]:
         """Who is told beside the others: seeds that nobody is known at, under numbers of their own, and heads
--- a/garnetlanding/peers/roll.py
+++ b/garnetlanding/peers/roll.py
@@ -11,6 +11,7 @@
 
 import ipaddress
 import struct
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from garnetlanding.peers.bans import DIGEST
@@ -29,9 +30,23 @@
     joined: bool
 
 
-def fits(size: int) -> int:
-    """How many records one datagram of that size holds, whatever their addresses."""
-    return (size - HEAD.size - SUM.size - DIGEST) // (RECORD.size + LONGEST_ADDRESS + PORT.size)
+def pages(records: Sequence[Record], size: int, most: int) -> list[list[Record]]:
+    """What is to be told, in up to `most` datagrams of that size: each begins with the first record."""
+    mine, found = records[0], [[records[0]]]
+    room = whole = size - HEAD.size - SUM.size - DIGEST - _size(mine)
+    for record in records[1:]:
+        if _size(record) > room:
+            if len(found) == most:
+                break
+            found.append([mine])
+            room = whole
+        found[-1].append(record)
+        room -= _size(record)
+    return found
+
+
+def _size(record: Record) -> int:
+    return RECORD.size + (LONGEST_ADDRESS if record.address.startswith("[") else 4) + PORT.size
 
 
 def envelope(told: Roll, life: int, number: int, re_life: int, re_number: int) -> Envelope:
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from garnetlanding.choices.turns import turn
 from garnetlanding.core.ports import Module
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.control import NEVER
@@ -61,8 +62,9 @@
         self.retire(now)
         if self.group and self.leases:
             self.group.leave()
-            heads = {who: self.leases.last_heard(who) for who in self.leases.group}
-            for who, e in self.group.say(heads, self.life, self.leases.sending(now)):
+            leases = self.leases
+            heads = {who: leases.last_heard(who) for who in leases.group}
+            for who, e in self.group.say(heads, self.life, lambda: leases.sending(now)):
                 tell(codec.seal(e), who)
 
     def _stand_back(self, until: int | None, now: int) -> None:
@@ -131,7 +133,7 @@
         if not self._speaks:
             self._stand_back(NEVER, now)
         # Heads that start together would all speak at once: each has its own turn in the first round.
-        self._wake(told, now, self.limits.say_every_us * (1 + s.me) // max(1, s.hosts))
+        self._wake(told, now, 1 + int(self.limits.say_every_us * turn(s.me, s.hosts, "say")))
         return leases
 
     def _regroup(self, leases: Leases, now: int) -> None:
@@ -236,7 +238,7 @@
             self.group.look(now)
             heads = {who: leases.last_heard(who) for who in [*to, *self.group.members.unmet(now)]}
             texts += [api.Tell(codec.seal(e), who)
-                      for who, e in self.group.say(heads, self.life, leases.sending(now))]
+                      for who, e in self.group.say(heads, self.life, lambda: leases.sending(now))]
         return texts
 
     def _pages(self, leases: Leases, kind: int, to: list[int], now: int) -> list[api.Action]:
--- a/garnetlanding/store/replica.py
+++ b/garnetlanding/store/replica.py
@@ -172,8 +172,11 @@
     """Keeps a follower connected: resumes by revision, and asks for a snapshot after a gap."""
 
     def __init__(self, scheduler: Scheduler, address: str, store: Store, pool: BufferPool,
-                 limits: Limits, currency: Currency | None = None) -> None:
+                 limits: Limits, currency: Currency | None = None, turn: float = 0.5) -> None:
+        """`turn`: this head's place in `[0, 1)` among those that the same signal wakes: a writer that
+        comes back is not met by all of them at once."""
         self._scheduler, self._address, self._store = scheduler, address, store
+        self._retry_us = int(limits.store_retry_us * (0.5 + turn))
         self._pool, self._limits, self._currency = pool, limits, currency
         self.connected = False
         self._asking: Timer | None = None
@@ -189,7 +192,7 @@
                 "writer": self._address, "why": f"{type(why).__name__}: {why}",
                 "revision": self._store.revision}})
             if again or not afresh:  # one new snapshot at once; a gap after that is no passing thing
-                self._scheduler.sleep(self._limits.store_retry_us)
+                self._scheduler.sleep(self._retry_us)
 
     def _follow(self, afresh: bool) -> Exception:
         """One connection, to its end; gives back what ended it."""
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -16,6 +16,7 @@
 from garnetlanding.decision.control import Controller
 from garnetlanding.decision.interface import Outcome
 from garnetlanding.emulator import verdict_net
+from garnetlanding.emulator.verdict_model import Scope, explore
 from garnetlanding.http.head import HttpError
 from garnetlanding.ops.file import StateFile
 from garnetlanding.ops.shared import SharedBans
@@ -26,9 +27,9 @@
 from garnetlanding.peers.fleet import Fleet
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.setup import read_fleet
-from garnetlanding.peers.sightings import Sightings
+from garnetlanding.peers.sightings import Sight, Sightings
 from garnetlanding.peers.talk import Talk
-from garnetlanding.peers.verdicts import Verdicts
+from garnetlanding.peers.verdicts import Claim, Verdicts
 from garnetlanding.peers.words import LONG_AGO, Evidence, Kind, Words, envelope, fit, read, tag
 from tests.helpers import MS, SECOND, T0, settings, up
 
@@ -231,6 +232,37 @@
     assert f.talks[0].known("bans", f.now)[0]["out"] is True
 
 
+def test_no_course_of_words_has_a_head_doubt_what_nobody_has_seen_in_time() -> None:
+    """Every one of two heads within three steps; with three, `benchmarks.verdicts`."""
+    found = explore(Scope(heads=2, steps=3))
+    assert found.whole and not found.wrong and found.states > 5000 and found.doubts > 500
+
+
+def from_when_it_came(self: Verdicts, sender: int, evidence: Any, sent_at: int | None, now: int,
+                      seen: Sightings) -> Any:
+    return real_heard(self, sender, evidence, None if sent_at is None else now, now, seen)
+
+
+def claims_for_good(self: Verdicts, node: str, sender: int, claim: Claim, now: int, seen: Sightings) -> None:
+    real_take(self, node, sender, replace(claim, until=claim.until + SECOND), now, seen)
+
+
+def own_answers_do_not_count(self: Sight, kind: Kind) -> int:
+    return -(1 << 62)
+
+
+real_heard, real_take = Verdicts.heard, Verdicts._take
+
+
+@pytest.mark.parametrize("where, name, instead", [
+    (Verdicts, "heard", from_when_it_came), (Verdicts, "_take", claims_for_good),
+    (Sight, "proof_at", own_answers_do_not_count)])
+def test_some_course_of_words_shows_a_bug(where: type, name: str, instead: Any,
+                                          monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(where, name, instead)
+    assert explore(Scope(heads=2, steps=4)).wrong
+
+
 # Bans
 
 RECORDS = [Record("a", 5, 0, True), Record("a", 5, 1, False), Record("b", 7, 2, True),
