--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -53,7 +53,8 @@
     for scope in SCOPES:
         found = explore(scope)
         name = f"{scope.heads} heads{'' if found.whole else ', given up'}"
-        lines.append(f"| {name} | {scope.steps} | {found.states} | {found.moves} | {found.doubts} | {found.wrong or 'none'} |")
+        lines.append(f"| {name} | {scope.steps} | {found.states} | {found.moves} | {found.doubts} "
+                     f"| {found.wrong or 'none'} |")
     RESULTS.write_text(f"""# Verdicts: a server falls silent for 8 s
 
 `python -m benchmarks.verdicts --seeds {seeds}`: simulated, 8 servers, 60 requests a second each,
