--- a/benchmarks/verdicts.py
+++ b/benchmarks/verdicts.py
@@ -43,7 +43,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=5)
     seeds = parser.parse_args().seeds
-    names = ("heads", "sent to it, untold", "told", "ratio", "s until under a tenth, untold", "told",
+    names = ("heads", "sent to it, untold", "told", "ratio", "s until under a tenth, untold",
+             "s until under a tenth, told",
              "served, told / untold", "bytes a head a second", "healthy servers doubted",
              "served in the 10 s after a third of the servers is lost, untold", "told")
     lines = ["| " + " | ".join(names) + " |", "| --- " * len(names) + "|"]
--- a/garnetlanding/lab/weather.py
+++ b/garnetlanding/lab/weather.py
@@ -24,7 +24,7 @@
         for f in self._faults:
             if f.kind == "lie" and f.who == sender and f.at_us <= now < f.until_us:
                 self.fates["lie"] += 1
-                return f.how
+                return f.how or "dead"
         return ""
 
     def fate(self, sender: int, receiver: int, now: int) -> list[int]:
--- a/garnetlanding/peers/setup.py
+++ b/garnetlanding/peers/setup.py
@@ -61,7 +61,7 @@
     for key, value in flags.items():
         if not isinstance(value, bool):
             raise ConfigError(f"key {section.name(key)}: expected true or false, found {value!r:.40}")
-    most = int(section.number("server_connections", 1, 0, MOST_CONNECTIONS)
+    most = int(section.number("server_connections", 0, 0, MOST_CONNECTIONS)
                if section.has("server_connections") else 0)
     if most and not flags.get("budgets"):
         raise ConfigError(f"key {section.name('server_connections')}: only with budgets = true")
