Let operators of any head shut another one out, and in again

The head refuses at once and sends nothing (Core.may_act, as for stragglers). Played with real processes under a cut, a third of all messages lost and a crash of the head that is out: it comes back out, as its disk says, and in again from a third head (experiments/shut-out.toml).

--- a/garnetlanding/cli.py
+++ b/garnetlanding/cli.py
@@ -137,6 +137,8 @@
     "fleet/bans": "Show the servers that an operator of any head has put out or back.",
     "fleet/forget": "Take a head that has stopped for good out of the group: its part becomes the others'. "
                     "Not one that may still run: both would use that part.",
+    "fleet/shut-out": "Have a head act no more: it refuses at once, sends nothing, until it is let in.",
+    "fleet/let-in": "Let a head act again that was shut out.",
 }
 
 
@@ -161,7 +163,7 @@
     command: Callable[..., Any] = run
     if what in ("disable", "enable"):
         command = click.argument("brick")(command)
-    if what == "fleet/forget":
+    if what in ("fleet/forget", "fleet/shut-out", "fleet/let-in"):
         command = click.argument("brick", metavar="HEAD", type=click.IntRange(0, 65535))(command)
     for option in (
         click.option("--json", "as_json", is_flag=True, help="Answer as one JSON object."),
--- a/garnetlanding/core/core.py
+++ b/garnetlanding/core/core.py
@@ -255,7 +255,7 @@
         if out == self.out:
             return
         self.out = out
-        log.warning("out, not current" if out else "current again", extra={"kv": {"open": self.open}})
+        log.warning("out" if out else "acts again", extra={"kv": {"open": self.open}})
         if out:
             for item in [i for i in self._items.values() if i.answer is None and not i.out()]:
                 # What has not run, or may run again, can be had elsewhere; what is out is finished.
--- a/garnetlanding/core/directory.py
+++ b/garnetlanding/core/directory.py
@@ -70,6 +70,10 @@
         self.banned = banned
         return [self.as_used(self._entries[node]) for node in changed if node in self._entries]
 
+    def shut(self, head: int) -> bool:
+        """Whether operators have taken this head itself out."""
+        return f"head/{head}" in self.banned
+
     @property
     def bans_digest(self) -> str:
         """The same for the same servers taken out; empty where none is."""
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -47,6 +47,7 @@
     from garnetlanding.peers.link import PeerLink
     from garnetlanding.peers.setup import FleetSetup, PeerSetup
     from garnetlanding.peers.talk import Talk
+    from garnetlanding.store.currency import Currency
     from garnetlanding.telemetry.exporter import Exporter
 
 log = logging.getLogger(__name__)
@@ -89,6 +90,7 @@
         self.audit: Recorder | None = None
         self.audit_files: AuditFiles | None = None
         self.settings_version = ""
+        self.currency: Currency | None = None
         self.life = self._wall_ms()  # greater at each start, whatever the monotonic clock says
         self.history: History | None = None
         self._dropped: Counter[str] = Counter()  # messages of other heads, by cause
@@ -144,6 +146,9 @@
             self._start_telemetry()
         if self.fleet and not config.ops:
             self._hear_bans(self.fleet)
+        if self.fleet or self.currency:
+            self.core.may_act = self._may_act
+            self.core.on_out.append(self._stand_back)
         self._place_link()
         if self.history:
             self.history.note("up")
@@ -220,17 +225,19 @@
             self._listen("followers", setup.address, self.limits.store_followers,
                          lambda write: WriterMachine(self.store, self.scheduler, self.limits, write))
             return
-        currency = None
         if setup.current_us:
             from garnetlanding.store.currency import Currency
 
-            currency = Currency(setup.current_us, setup.drift, self.scheduler.now)
-            self.core.may_act = currency.current
-            self.core.on_out.append(self._stand_back)
+            self.currency = Currency(setup.current_us, setup.drift, self.scheduler.now)
         s = self.core.settings
-        Follower(self.scheduler, setup.address, self.store, self.pool, self.limits, currency,
+        Follower(self.scheduler, setup.address, self.store, self.pool, self.limits, self.currency,
                  turn(s.me, s.hosts, "store"))
 
+    def _may_act(self, now: int) -> bool:
+        """Whether this head is current, as far as it has to be, and no operator has shut it out."""
+        shut = self.fleet is not None and self.core.directory.shut(self.core.settings.me)
+        return not shut and (self.currency is None or self.currency.current(now))
+
     def _stand_back(self, out: bool) -> None:
         if self.talk:
             self.talk.stand_back(out, self.scheduler.now)
--- a/garnetlanding/lab/checks.py
+++ b/garnetlanding/lab/checks.py
@@ -14,6 +14,7 @@
     heads_found,
     places_held,
     settings_followed,
+    shut_out_held,
 )
 from garnetlanding.lab.heads import SETTINGS, above
 from garnetlanding.lab.history import Line
@@ -107,6 +108,7 @@
     settings_followed(experiment, lines, found)
     choices_held(experiment, lines, found)
     current_held(experiment, lines, found)
+    shut_out_held(experiment, lines, found)
     return found
 
 
--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -20,7 +20,8 @@
 LINK_FAULTS = ("cut", "loss", "delay", "double", "reorder", "flood")  # of datagrams from head to head
 # Takes work and answers nothing; refuses connections; the same, and comes back cold, as the list then tells.
 BRICK_FAULTS = ("silent", "down", "restart")
-CALLS = ("disable", "enable", "drain", "resume")  # of an operator at one head, at one time
+# Of an operator at one head, at one time; the last two are about another head (`head`).
+CALLS = ("disable", "enable", "drain", "resume", "shut-out", "let-in")
 STREAM_FAULTS = ("lag", "trickle", "freeze", "reset")  # of connections: late, in drops, held up, torn down
 # A head's connections to a brick, to its discovery, from clients, to the store's writer.
 LINKS = ("brick", "discovery", "client", "store")
@@ -36,7 +37,7 @@
     at_us: int
     until_us: int
     who: int = -1  # of a process or a brick
-    brick: int = -1  # of an operator's call
+    brick: int = -1  # that an operator's call is about; or a head's number
     link: str = ""  # of a fault of connections
     how: str = ""  # the first process of an upgrade ends: term, kill or stop; what a lie is about
     wall_s: int = 0  # a head that starts again has its wall clock wrong by so much
@@ -119,6 +120,8 @@
             raise ConfigError(f"key {section.name('who')}: which head?")
         if kind in ("disable", "enable"):
             brick = int(section.number("brick", 0, most=bricks - 1))
+        if kind in ("shut-out", "let-in"):
+            brick = _head(section, "head", heads)
     elif kind in STREAM_FAULTS:
         link, who = section.one_of("link", LINKS), _head(section, "who", heads)
         if section.has("brick"):
@@ -149,7 +152,7 @@
     listed = top.raw("fault") or []
     if not isinstance(listed, list):
         raise ConfigError("key fault: expected [[fault]] tables")
-    known = "kind at_s until_s who as brick link how wall_s newer from to share weight span_ms"
+    known = "kind at_s until_s who as head brick link how wall_s newer from to share weight span_ms"
     faults = tuple(_fault(Section(one, f"fault.{i}", known), heads, bricks, length_us)
                    for i, one in enumerate(listed))
     settings = Section(top.raw("settings") or {}, "settings").data
--- a/garnetlanding/lab/fleet_checks.py
+++ b/garnetlanding/lab/fleet_checks.py
@@ -130,3 +130,17 @@
             found.old_us = max(found.old_us, sent - later)
     if found.old_us > experiment.current_s * SECOND + LIMITS.send_us:
         found.broken.append(f"current: a head sent on settings that were {found.old_us / SECOND:.2f} s old")
+
+
+def shut_out_held(experiment: Experiment, lines: list[Line], found: Findings) -> None:
+    """A head that is out sends nothing, from when it has said so until it acts again."""
+    out: dict[str, list[tuple[int, bool]]] = defaultdict(list)
+    for line in lines:
+        if line["what"] == "current":
+            out[line["who"]].append((line["at"], line["out"]))
+    for line in lines:
+        if line["what"] == "answered":
+            for _, _, sent in line["attempts"]:
+                state = [is_out for at, is_out in out[line["who"]] if at <= sent]
+                if state and state[-1]:
+                    found.broken.append(f"out: {line['id']} was sent by {line['who']}, which was out")
--- a/garnetlanding/lab/run.py
+++ b/garnetlanding/lab/run.py
@@ -305,7 +305,10 @@
     def _call(self, fault: Fault) -> None:
         """An operator's call at one head; what it answered is noted, or that it did not."""
         world, scheduler = self._world.bricks[0], self._scheduler
-        method, path = path_of(fault.kind, f"b{fault.brick}" if fault.brick >= 0 else "")
+        if fault.kind in ("shut-out", "let-in"):
+            method, path = path_of(f"fleet/{fault.kind}", str(fault.brick))
+        else:
+            method, path = path_of(fault.kind, f"b{fault.brick}" if fault.brick >= 0 else "")
         answer = bytearray()
         try:
             until = scheduler.now + LIMITS.call_s * SECOND
--- a/garnetlanding/ops/caller.py
+++ b/garnetlanding/ops/caller.py
@@ -14,6 +14,7 @@
 from garnetlanding.runtime.stream import parse_address
 
 SHOWN = tuple(f"fleet/{what}" for what in ("limits", "members", "verdicts", "bans"))  # as tables
+ON_HEADS = ("fleet/forget", "fleet/shut-out", "fleet/let-in")
 OUTCOMES = ("success", "overload", "error")
 TABLE_COLUMNS = 100
 
@@ -33,9 +34,9 @@
 
 
 def path_of(what: str, brick: str = "") -> tuple[str, str]:
-    """Method and path of a call on a brick, or (`fleet/forget`) on a head."""
-    if what == "fleet/forget":
-        return "POST", f"/-/fleet/heads/{brick}/forget"
+    """Method and path of a call on a brick, or on a head."""
+    if what in ON_HEADS:
+        return "POST", f"/-/fleet/heads/{brick}/{what.partition('/')[2]}"
     if brick:
         return "POST", f"/-/bricks/{quote(brick, safe='')}/{what}"
     return ("GET" if what in ("ready", "metrics", *SHOWN) else "POST"), f"/-/{what}"
--- a/garnetlanding/ops/desk.py
+++ b/garnetlanding/ops/desk.py
@@ -81,6 +81,14 @@
             log.info("head forgotten", extra={"kv": {"head": head}})
         return known
 
+    def shut(self, head: int, out: bool) -> bool | None:
+        shared, hosts = self._shared, self._core.settings.hosts
+        if shared is None:
+            return None
+        if head < hosts:
+            self._change("shut out" if out else "let in", lambda state: shared.shut(state, head, out, hosts))
+        return head < hosts
+
     def _change(self, what: str, how: Callable[[OpsState], OpsState], brick: str = "") -> None:
         """On disk first: a yes outlasts this process."""
         self._take_up(self._file.change(how))
--- a/garnetlanding/ops/front.py
+++ b/garnetlanding/ops/front.py
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 BRICK = re.compile(r"/-/bricks/([^/]+)/(disable|enable)")
-FORGET = re.compile(r"/-/fleet/heads/(\d{1,5})/forget")
+HEAD = re.compile(r"/-/fleet/heads/(\d{1,5})/(forget|shut-out|let-in)")
 FLEET = {f"/-/fleet/{what}": what for what in ("limits", "members", "verdicts", "bans")}
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
@@ -44,6 +44,10 @@
     def forget(self, head: int) -> bool | None:
         """A head has stopped for good; None where the group of heads is not found by itself."""
 
+    def shut(self, head: int, out: bool) -> bool | None:
+        """A head is to act no more, or again; None where operators' words are this head's alone. Raises
+        HttpError where too many would be out."""
+
 
 class CallMachine:
     """Fed one connection's bytes; answers the call in it and ends."""
@@ -92,9 +96,12 @@
             return (200, "ready\n") if desk.ready() else (503, "not ready\n")
         if path in FLEET and (told := desk.fleet(FLEET[path])) is not None:
             return (200, told) if method == "GET" else (405, "only GET\n")
-        brick, head = BRICK.fullmatch(path), FORGET.fullmatch(path)
-        if head and method == "POST" and (known := desk.forget(int(head[1]))) is not None:
-            return (200, f"forgotten {head[1]}\n") if known else (404, "no such head\n")
+        brick, head = BRICK.fullmatch(path), HEAD.fullmatch(path)
+        if head and method == "POST":
+            number, what = int(head[1]), head[2]
+            known = desk.forget(number) if what == "forget" else desk.shut(number, what == "shut-out")
+            if known is not None:
+                return (200, f"{what} {number}\n") if known else (404, "no such head\n")
         if not brick and path not in ("/-/drain", "/-/resume"):
             return 404, "no such call\n"
         if method != "POST":
--- a/garnetlanding/ops/shared.py
+++ b/garnetlanding/ops/shared.py
@@ -10,7 +10,7 @@
 
 from garnetlanding.http.head import HttpError
 from garnetlanding.ops.state import OpsState
-from garnetlanding.peers.bans import BanError, Bans, Record
+from garnetlanding.peers.bans import HEADS, BanError, Bans, Record
 from garnetlanding.peers.fleet import Fleet
 
 log = logging.getLogger(__name__)
@@ -32,6 +32,14 @@
             raise HttpError(str(problem), 400) from None
         return self._kept(state, bans)
 
+    def shut(self, state: OpsState, head: int, out: bool, hosts: int) -> OpsState:
+        """A head is to act no more, or again: a record like that of a brick. Raises HttpError where more
+        than the share of heads would be out that may be."""
+        others = {name for name in state.banned if name.startswith(HEADS)} - {HEADS + str(head)}
+        if out and (len(others) + 1) > hosts * self._fleet.limits.out_share:
+            raise HttpError(f"{len(others)} of {hosts} heads are out already", 400)
+        return self.say(state, HEADS + str(head), out)
+
     def hear(self, state: OpsState, records: list[Record]) -> OpsState:
         bans = self.table(state)
         news, bad = bans.hear(records)
--- a/garnetlanding/peers/bans.py
+++ b/garnetlanding/peers/bans.py
@@ -13,6 +13,7 @@
 
 DIGEST = 8  # bytes
 NOTHING = bytes(DIGEST)  # digest of an empty table
+HEADS = "head/"  # and its number: a head that is shut out; no server is named so
 
 
 class BanError(ValueError):
--- a/garnetlanding/peers/limits.py
+++ b/garnetlanding/peers/limits.py
@@ -56,5 +56,6 @@
     ban_name: int = 180  # bytes of a server's name: a record fits into a datagram
     ban_version: int = 1 << 47  # milliseconds up to the year 6429; the form holds twice that
     ban_ahead: int = 3_600_000  # above it, so far past the highest known: each can still be outbid
+    out_share: float = 0.5  # of the heads that operators may shut out at a time
     look_us: int = 250 * MS  # between looks whether other heads have said something
     open_retry_us: int = SECOND  # between tries to have the address, while an older process has it
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -393,6 +393,23 @@
     assert any(acting_late(seed, bug) >= 1.0 for seed in range(60))
 
 
+def test_an_operator_shuts_a_head_out_from_another_and_lets_it_in_from_a_third(
+    tmp_path: pathlib.Path
+) -> None:
+    result = run(load(str(ROOT / "experiments" / "shut-out.toml")), tmp_path / "run")
+    assert result.findings.sound, result.findings.broken
+    called = [(line["kind"], line["status"]) for line in result.lines if line["what"] == "called"]
+    assert called == [("shut-out", 200), ("shut-out", 200), ("shut-out", 400),
+                      ("let-in", 200), ("let-in", 200)]
+    words = [(line["who"], line["out"]) for line in result.lines if line["what"] == "current"]
+    assert ("n1", True) in words and ("n3", True) in words and not any(who == "n0" for who, _ in words)
+    last = {line["who"]: line["out"] for line in result.lines if line["what"] == "current"}
+    assert last == {"n1": False, "n3": False}
+    late = result.began + 9 * SECOND
+    assert any(line["what"] == "answered" and line["who"] == "n1" and line["outcome"] == "served"
+               and line["t"] > late for line in result.lines)
+
+
 def test_stragglers_among_real_processes_stop_in_time_and_the_audit_says_who_used_what(
     tmp_path: pathlib.Path
 ) -> None:
