--- a/garnetlanding/lab/experiment.py
+++ b/garnetlanding/lab/experiment.py
@@ -26,7 +26,7 @@
 # A head's connections to a brick, to its discovery, from clients, to the store's writer.
 LINKS = ("brick", "discovery", "client", "store")
 LIES = ("lie",)  # one head's words, as `how` says
-LIED = ("dead", "greedy")  # that every brick is dead; that it wants all of every limit
+LIED = ("dead", "well", "greedy")  # every brick is dead; all is well; it wants all of every limit
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetlanding/lab/lies.py
+++ b/garnetlanding/lab/lies.py
@@ -1,5 +1,5 @@
-"""A head that lies: its words, on their way to the others, say that every brick is dead, or that it wants all
-of every limit. No I/O.
+"""A head that lies: its words, on their way to the others, say that every brick is dead, that all is well, or
+that it wants all of every limit. No I/O.
 """
 
 from __future__ import annotations
@@ -22,6 +22,8 @@
         told = words.read(e)
     except codec.BadMessage:
         return data
+    if how == "well":
+        bricks = []
     evidence = tuple(words.Evidence(words.Kind.DEAD, words.tag(name), words.LONG_AGO, words.MOST_COUNT, 0)
                      for name in bricks)
     most, _ = words.fit(evidence, (), limits.datagram_bytes)
--- a/garnetlanding/peers/budgets.py
+++ b/garnetlanding/peers/budgets.py
@@ -40,6 +40,8 @@
                     self._units[event.request] = event.units
                     self.leases.asked(api.cold(node), hosts, s.cold_units * SECOND / s.fall_us, event.units,
                                       now, s.fall_us)
+                case api.ClientLeft():
+                    self._over(event.request)
                 case api.Result():
                     if s.budget_span_us and s.budget_free and event.outcome is not api.Outcome.SERVED:
                         pace = s.budget_free * hosts * SECOND / s.budget_span_us
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -276,6 +276,9 @@
     budgets.acted(later, [api.Subscribe()], COLD)
     told = budgets.shares(later, 3)
     assert told and told[api.LIST_CALLS] >= LIMITS.list_least
+    assert "r1" in budgets._units
+    budgets.see(later, [api.ClientLeft("r1")], COLD, 3)
+    assert not budgets._units, "nobody waits for it any more"
     budgets.see(later, [replace(ask, request="r3")], COLD, 3)
     assert "r3" not in budgets._units, "it is warm"
 
