--- /dev/null
+++ b/benchmarks/costs.py
@@ -0,0 +1,53 @@
+"""What the fleet's parts cost a head: CPU and memory of real processes, as ratios of one run's, and bytes.
+
+    python -m benchmarks.costs [SEEDS]        writes benchmarks/results/costs.md
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+from dataclasses import replace
+from typing import Any
+
+from garnetlanding.lab.experiment import Experiment, Load
+from garnetlanding.lab.limits import SECOND
+from garnetlanding.lab.run import run
+
+RESULTS = pathlib.Path(__file__).parent / "results" / "costs.md"
+BASE = Experiment("costs", 1, 4, 4, 15 * SECOND, Load(volumes=6, rate=200.0, lead=0.6), fleet=False)
+VARIANTS: dict[str, dict[str, Any]] = {
+    "without": {}, "verdicts and bans": {"fleet": True}, "and budgets": {"fleet": True, "budgets": True},
+    "and heads that find each other": {"fleet": True, "budgets": True, "group": 2},
+    "and the audit": {"fleet": True, "budgets": True, "group": 2, "audit": True},
+    "and subsets": {"fleet": True, "budgets": True, "group": 2, "audit": True, "choices": {"subset": 2}},
+}
+
+
+def main(seeds: int) -> None:
+    cpu: dict[str, float] = dict.fromkeys(VARIANTS, 0.0)
+    memory, messages = dict(cpu), dict(cpu)
+    for seed in range(1, seeds + 1):
+        for name, more in VARIANTS.items():
+            with tempfile.TemporaryDirectory() as folder:
+                found = run(replace(BASE, seed=seed, **more), pathlib.Path(folder) / "run")
+            costs = list(found.costs.values())
+            cpu[name] += sum(c["cpu_s"] for c in costs) / len(costs) / seeds
+            memory[name] += sum(c["memory_mb"] for c in costs) / len(costs) / seeds
+            messages[name] += found.fates.get("arrived", 0) / BASE.heads / (BASE.length_us / SECOND) / seeds
+    first = next(iter(VARIANTS))
+    lines = ["# What the fleet's parts cost a head", "",
+             f"`python -m benchmarks.costs {seeds}`: four real heads, 200 requests a second, {seeds} seeds, start "
+             "included; histories are written in all.", "",
+             "| on | CPU, beside without | memory, MB | beside without | messages a head a second |",
+             "| --- " * 5 + "|"]
+    for name in VARIANTS:
+        lines.append(f"| {name} | {cpu[name] / cpu[first]:.2f} | {memory[name]:.1f} "
+                     f"| {memory[name] / memory[first]:.2f} | {messages[name]:.0f} |")
+    RESULTS.write_text("\n".join(lines) + "\n")
+    print("\n".join(lines))
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
--- a/benchmarks/lab_runs.py
+++ b/benchmarks/lab_runs.py
@@ -1,6 +1,8 @@
 """Every experiment of `experiments/` with several seeds, on real processes: a table of what was found.
 
-    python -m benchmarks.lab_runs [SEEDS [JOBS]]
+    python -m benchmarks.lab_runs [SEEDS [JOBS [EXPERIMENT ...]]]
+
+With names, these alone are run, and the rows of the others stay as they were recorded.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 from garnetlanding.lab.run import LabError, run
 
 ROOT = pathlib.Path(__file__).parent.parent
+RESULTS = ROOT / "benchmarks" / "results" / "lab.md"
 HEADER = ("| experiment | runs | asked | served | refused | failed | unanswered, its head killed or stopped "
           "| most over a limit, units | share of the limits used | greatest sum of parts "
           "| greatest sum of even parts | of what a cold brick bears, sent at most "
@@ -54,9 +57,16 @@
     return found
 
 
-def main(seeds: int, jobs: int) -> int:
-    lines, broken = ["# Real processes under faults", "", HEADER], 0
-    files = sorted((ROOT / "experiments").glob("*.toml"))
+def recorded() -> dict[str, str]:
+    """The rows that stand in the results, by experiment."""
+    lines = RESULTS.read_text().splitlines() if RESULTS.exists() else []
+    rows = [line for line in lines if line.startswith("| ") and line not in HEADER.splitlines()]
+    return {line.split(" | ")[0].strip("| "): line for line in rows}
+
+
+def main(seeds: int, jobs: int, only: list[str]) -> int:
+    rows, broken = recorded() if only else {}, 0
+    files = [path for path in sorted((ROOT / "experiments").glob("*.toml")) if not only or path.stem in only]
     with Progress() as bar, ProcessPoolExecutor(jobs) as pool:
         task = bar.add_task("experiments", total=len(files) * seeds)
         runs = {path: [pool.submit(play, path, seed) for seed in range(1, seeds + 1)] for path in files}
@@ -68,12 +78,13 @@
                 found += [result] if result else []
                 bar.advance(task)
             if found:
-                lines.append(row(path.stem, found))
-                print(lines[-1], flush=True)
-    (pathlib.Path(__file__).parent / "results" / "lab.md").write_text("\n".join(lines) + "\n")
+                rows[path.stem] = row(path.stem, found)
+                print(rows[path.stem], flush=True)
+    told = ["# Real processes under faults", "", HEADER, *(rows[name] for name in sorted(rows))]
+    RESULTS.write_text("\n".join(told) + "\n")
     return 1 if broken else 0
 
 
 if __name__ == "__main__":
-    given = [int(word) for word in sys.argv[1:]]
-    sys.exit(main(*(given + [3, 1][len(given):])))
+    given = [int(word) for word in sys.argv[1:3]]
+    sys.exit(main(*(given + [3, 1][len(given):]), sys.argv[3:]))
