--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -38,8 +38,8 @@
             messages[name] += found.fates.get("arrived", 0) / BASE.heads / (BASE.length_us / SECOND) / seeds
     first = next(iter(VARIANTS))
     lines = ["# What the fleet's parts cost a head", "",
-             f"`python -m benchmarks.costs {seeds}`: four real heads, 200 requests a second, {seeds} seeds; start "
-             "and histories included in all.", "",
+             f"`python -m benchmarks.costs {seeds}`: four real heads, 200 requests a second, {seeds} seeds; "
+             "start and histories included in all.", "",
              "| on | CPU, beside without | memory, MB | beside without | messages a head a second |",
              "| --- " * 5 + "|"]
     for name in VARIANTS:
