--- a/garnetlanding/emulator/budget_net.py
+++ b/garnetlanding/emulator/budget_net.py
@@ -47,9 +47,7 @@
     def _turn(self, me: int, lead: int) -> None:
         head = self.heads[me]
         now, leases = head.clock(self.now), head.leases
-        for sender, data in head.inbox:
-            leases.heard(sender, codec.decode(data, self.limits.datagram_bytes), now)
-        head.inbox.clear()
+        self._hear(head, now)
         wanted = 0
         busy = me == self.now // self.net.shift_us % self.net.heads
         rate = BUDGET / (self.window_us / SECOND) * (2 if busy else self.net.rest)
--- a/garnetlanding/emulator/group_model.py
+++ b/garnetlanding/emulator/group_model.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
+from garnetlanding.emulator.walk import Walk
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.members import Members, Record
 
@@ -116,23 +117,12 @@
 def explore(scope: Scope) -> Explored:
     """Ends at the first state whose even parts add up to more than 1."""
     start = State(tuple(begun(scope, head, 1) for head in range(scope.heads)), (), 0)
-    found, seen, wave = Explored(), {hash(key(start))}, [start]
-    for _ in range(scope.moves + 1):
-        following: list[State] = []
-        for state in wave:
-            running = [m for m in state.heads if m is not None]
-            found.states += 1
-            found.most = max(found.most, sum(m.even for m in running))
-            found.joined = max(found.joined, sum(m.joined for m in running))
-            if found.most > 1 + 1e-9:
-                return found
-            if found.states >= scope.most:
-                found.whole = False
-                return found
-            for new in moves(state, scope):
-                found.moves += 1
-                if (name := hash(key(new))) not in seen:
-                    seen.add(name)
-                    following.append(new)
-        wave = following
+    found, walk = Explored(), Walk(start, key, lambda s: moves(s, scope), scope.most, scope.moves)
+    for state in walk:
+        running = [m for m in state.heads if m is not None]
+        found.most = max(found.most, sum(m.even for m in running))
+        found.joined = max(found.joined, sum(m.joined for m in running))
+        if found.most > 1 + 1e-9:
+            break
+    found.states, found.moves, found.whole = walk.states, walk.moves, walk.whole
     return found
--- a/garnetlanding/emulator/lease_model.py
+++ b/garnetlanding/emulator/lease_model.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field, replace
 
 from garnetlanding.decision.state import Rate
+from garnetlanding.emulator.walk import Walk
 from garnetlanding.peers.codec import Message, tag
 from garnetlanding.peers.leases import Leases, Own, Peer
 from garnetlanding.peers.limits import PeerLimits
@@ -161,24 +162,13 @@
     # Heads that have run for long: what an earlier life had given has ended.
     start = State(0, 0, tuple(kind(LIMITS, me, scope.heads, 1, -LIMITS.lease_us)
                               for me in range(scope.heads)), (), 0)
-    found, seen, wave = Explored(), {hash(key(start))}, [start]
-    while wave:
-        following: list[State] = []
-        for state in wave:
-            sums = parts(state, scope)
-            found.parts.add(sums)
-            found.states += 1
-            found.most = max(found.most, sum(sums))
-            if found.most > 1 + 1e-9:
-                return found
-            if found.states >= scope.most:
-                found.whole = False
-                return found
-            for new in moves(state, scope, kind) if state.now < scope.steps else ():
-                found.moves += 1
-                name = hash(key(new))
-                if name not in seen:
-                    seen.add(name)
-                    following.append(new)
-        wave = following
+    found = Explored()
+    walk = Walk(start, key, lambda s: moves(s, scope, kind) if s.now < scope.steps else (), scope.most)
+    for state in walk:
+        sums = parts(state, scope)
+        found.parts.add(sums)
+        found.most = max(found.most, sum(sums))
+        if found.most > 1 + 1e-9:
+            break
+    found.states, found.moves, found.whole = walk.states, walk.moves, walk.whole
     return found
--- a/garnetlanding/emulator/lease_net.py
+++ b/garnetlanding/emulator/lease_net.py
@@ -119,9 +119,7 @@
     def _turn(self, me: int, lead: int) -> None:
         head = self.heads[me]
         now, leases = head.clock(self.now), head.leases
-        for sender, data in head.inbox:
-            leases.heard(sender, codec.decode(data, self.limits.datagram_bytes), now)
-        head.inbox.clear()
+        self._hear(head, now)
         if me < self.net.hosts:
             rate = LIMIT * (1.5 if me == lead else self.net.rest)
             if self.rng.random() < rate / 2 * self.net.step_us / SECOND:
@@ -134,6 +132,11 @@
         for receiver, data in mail:
             self._post(me, receiver, data)
 
+    def _hear(self, head: Head, now: int) -> None:
+        for sender, data in head.inbox:
+            head.leases.heard(sender, codec.decode(data, self.limits.datagram_bytes), now)
+        head.inbox.clear()
+
     def _look(self, head: Head) -> None:
         """What the module would be told before it may send."""
         now = head.clock(self.now)
--- a/garnetlanding/emulator/verdict_model.py
+++ b/garnetlanding/emulator/verdict_model.py
@@ -15,6 +15,7 @@
 
 from garnetlanding.decision import interface as api
 from garnetlanding.decision.interface import Outcome
+from garnetlanding.emulator.walk import Walk
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.sightings import Sightings
 from garnetlanding.peers.verdicts import Verdicts
@@ -132,20 +133,12 @@
 def explore(scope: Scope) -> Explored:
     """Ends at the first state in which a law does not hold."""
     start = State(STEP, 0, tuple(begun() for _ in range(scope.heads)), ())
-    found, seen, wave = Explored(), {hash(key(start))}, [start]
-    while wave and not found.wrong:
-        following: list[State] = []
-        for state in wave:
-            found.states += 1
-            found.doubts += any(copy.deepcopy(h.verdicts).doubted(state.now, h.seen) for h in state.heads)
-            found.wrong = found.wrong or wrong(state)
-            if found.wrong or found.states >= scope.most:
-                found.whole = not found.wrong and found.states < scope.most
-                return found
-            for new in moves(state, scope) if state.now <= scope.steps * STEP else ():
-                found.moves += 1
-                if (name := hash(key(new))) not in seen:
-                    seen.add(name)
-                    following.append(new)
-        wave = following
+    found = Explored()
+    walk = Walk(start, key, lambda s: moves(s, scope) if s.now <= scope.steps * STEP else (), scope.most)
+    for state in walk:
+        found.doubts += any(copy.deepcopy(h.verdicts).doubted(state.now, h.seen) for h in state.heads)
+        found.wrong = wrong(state)
+        if found.wrong:
+            break
+    found.states, found.moves, found.whole = walk.states, walk.moves, walk.whole and not found.wrong
     return found
