Keep every part from a head that does not act, also in a group that it has joined

Seen on rereading: Talk._regroup took back what stand_back had given up as soon as the next event came, and a change of settings made new leases, so a straggler or a head that was shut out held parts that others could have used. It sent nothing on them (Core.out). One condition now says whether any part may be this process's; the test fails without it. The audit says 'shut out' where an operator did it, in place of 'not current'.

--- a/garnetlanding/audit/merge.py
+++ b/garnetlanding/audit/merge.py
@@ -218,8 +218,8 @@
     if span.how in ("crashed", "ended in order"):
         return span.how
     after = [s for s in fleet.spans if (s.head, s.life) == (span.head, span.life) and s.began >= span.ended]
-    if after and min(after, key=lambda s: s.began).vector.get("out"):
-        return "could not show that it was current, and stopped"
+    if after and (out := min(after, key=lambda s: s.began).vector.get("out")):
+        return "was shut out" if out == "shut out" else "could not show that it was current, and stopped"
     if span.how == "holds":
         return "acts on it still"
     return "heard of it last"
--- a/garnetlanding/daemon.py
+++ b/garnetlanding/daemon.py
@@ -252,7 +252,8 @@
         sources: dict[str, Callable[[], str]] = {
             "code": lambda: __version__, "settings": lambda: self.settings_version,
             "list": lambda: str(self.watch.version), "bans": lambda: core.directory.bans_digest,
-            "out": lambda: "not current" if core.out else ""}
+            "out": lambda: ("" if not core.out else "shut out"
+                            if core.directory.shut(core.settings.me) else "not current")}
         if self.group:
             members = self.group.members
             sources["heads"] = lambda: members.digest.hex()
--- a/garnetlanding/peers/talk.py
+++ b/garnetlanding/peers/talk.py
@@ -46,11 +46,13 @@
         self._turns = Turns(self.limits, module.s.me)
         self.last_heard: list[int] = []  # head, life and number of the last message that was taken up
         self._out = False  # stands back: it has been put out, or replaced
+        self._held_back = False  # the head does not act: it is not current, or shut out
 
     def take_over(self, now: int) -> None:
         """The head's other process speaks no more: this one does, as after a start."""
         self._speaks = True
-        self._stand_back(None, now)
+        if self._may_use:
+            self._stand_back(None, now)
 
     def retire(self, now: int) -> None:
         """Another process of this head takes over: no part of anything is this one's from now on."""
@@ -130,7 +132,7 @@
         leases = self.leases = Leases(self.limits, s.me, s.hosts, self.life, now, leases)
         if self._make_budgets:
             self.budgets = self._make_budgets(s, self.life, now)
-        if not self._speaks:
+        if not self._may_use:
             self._stand_back(NEVER, now)
         # Heads that start together would all speak at once: each has its own turn in the first round.
         self._wake(told, now, 1 + int(self.limits.say_every_us * turn(s.me, s.hosts, "say")))
@@ -146,7 +148,7 @@
             self.budgets.leases.regroup(others)
             if not members.joined:
                 self.budgets.leases.stand_back(NEVER, now)
-            elif self.budgets.leases.back_at == NEVER and self._speaks:
+            elif self.budgets.leases.back_at == NEVER and self._may_use:
                 self.budgets.leases.stand_back(None, now)
         if members.out and not self._out:
             self._out = True
@@ -213,8 +215,13 @@
 
     def stand_back(self, out: bool, now: int) -> None:
         """This head is not current, or is again: while it is not, no part of anything is its own."""
-        if self._speaks and not self._out:
-            self._stand_back(NEVER if out else None, now)
+        self._held_back = out
+        self._stand_back(None if self._may_use else NEVER, now)
+
+    @property
+    def _may_use(self) -> bool:
+        """Whether any part of anything may be this process's."""
+        return self._speaks and not self._out and not self._held_back
 
     @property
     def said(self) -> int:
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 
+
 class Places(Protocol):
     """Of the connections that all heads together may have at a server, this head's."""
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -247,6 +247,7 @@
 
 @pytest.mark.parametrize("more, why", [
     ([on(1.5, "1.1#a", vector={"settings": "1.1#a", "out": "not current"}), on(3, "1.2#b")], "stopped"),
+    ([on(1.5, "1.1#a", vector={"settings": "1.1#a", "out": "shut out"})], "was shut out"),
     ([{"at": 1.5, "kind": "end"}], "ended in order"),
     ([{"at": 1.2, "kind": "refused", "component": "settings", "why": "key x"}, still(2, "1.1#a")],
      "refused the change"),
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,7 +13,7 @@
 
 from garnetlanding import config
 from garnetlanding.decision import interface as api
-from garnetlanding.decision.control import Controller
+from garnetlanding.decision.control import NEVER, Controller
 from garnetlanding.emulator.brick import Brick
 from garnetlanding.emulator.budget_net import BudgetNet, BudgetRun
 from garnetlanding.emulator.discovery import Box
@@ -22,11 +22,13 @@
 from garnetlanding.peers import codec, roll
 from garnetlanding.peers.budgets import Budgets
 from garnetlanding.peers.codec import BadMessage
+from garnetlanding.peers.group import Group
 from garnetlanding.peers.leases import Leases, Own
 from garnetlanding.peers.limits import PeerLimits
 from garnetlanding.peers.members import Members, Record
 from garnetlanding.peers.places import Places
 from garnetlanding.peers.setup import FleetSetup, read_fleet
+from garnetlanding.peers.talk import Talk
 from garnetlanding.peers.turns import Turns
 from tests.helpers import T0, Peer, World, read_command, settings, up
 
@@ -371,6 +373,27 @@
     assert len(brick.conns) == 1 and few.told[-1][0] == 1, "the other was closed as it came free"
 
 
+def test_a_head_that_does_not_act_has_no_part_until_it_acts_again() -> None:
+    """In a group that it has joined, its part of the budgets came back with the next message."""
+    group = Group(LIMITS, one(0, seeds=1))
+    talk = Talk(Controller(COLD, 1), life=1, group=group,
+                budgets=lambda s, life, now: Budgets(LIMITS, s, life, now))
+    now = T0
+    talk.handle(now, [])
+    group.look(now + LIMITS.begin_us)
+    talk.handle(now, [])
+    budgets = talk.budgets
+    assert group.members.joined and budgets and budgets.leases.back_at < NEVER
+    talk.stand_back(True, now)
+    talk.handle(now + SECOND, [])
+    talk.take_over(now + SECOND)
+    talk.handle(now + SECOND, [])
+    assert budgets.leases.back_at == NEVER and talk.leases and talk.leases.back_at == NEVER
+    talk.stand_back(False, now + SECOND)
+    talk.handle(now + SECOND, [])
+    assert budgets.leases.back_at < NEVER and talk.leases.back_at < NEVER, "as after a start"
+
+
 # Configuration
 
 @pytest.mark.parametrize("data, key", [
