--- a/review/standins/bricks.py
+++ b/review/standins/bricks.py
@@ -9,13 +9,14 @@
 from review.standins.record import Record
 
 CORES = 2
-WORK_S = (0.022, 0.035)
+WORK_S = {b"segment-read": (0.022, 0.035), b"draft-save": (0.037, 0.060), b"bulk-export": (0.064, 0.100)}
+"""Of kilkenny-store, by class: the least and the greatest time that a request's work takes."""
 
 
 class Brick:
     """A sound brick for one shard; a subclass may change how it answers.
 
-    A request's work takes a time drawn from `WORK_S`, on one of `CORES` cores. The value of an answer names
+    A request's work takes a time drawn from that of its class, on one of `CORES` cores. The value names
     the piece and the request, so that a client can tell its own from another's.
     """
 
@@ -54,13 +55,9 @@
         self.begun += 1
         self.record.line(f"brick {self.name} begins {words[2].decode()} of piece {words[1].decode()}")
         async with self._cores:
-            await asyncio.sleep(self.work_s())
+            await asyncio.sleep(self.random.uniform(*WORK_S[resp.fields(words[3])[b"c"]]))
         await self.reply(words, writer)
 
-    def work_s(self) -> float:
-        """Return the time that the next request's work takes."""
-        return self.random.uniform(*WORK_S)
-
     async def reply(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         """Write the answer to a request."""
         writer.write(
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -101,7 +101,13 @@
     """One head of the platform: a process, its configuration and a temporary folder of its own."""
 
     def __init__(
-        self, record: Record, discovery: str, settings: dict[str, Any], *, has_ops: bool = False
+        self,
+        record: Record,
+        discovery: str,
+        settings: dict[str, Any],
+        *,
+        has_ops: bool = False,
+        operator: str = "",
     ) -> None:
         self._record = record
         self._folder = tempfile.TemporaryDirectory(prefix="head-")
@@ -119,6 +125,9 @@
         }
         if has_ops:
             config["ops"] = self.ops
+        self._operator = Path(self._folder.name) / "operator.toml" if operator else None
+        if self._operator:
+            self._operator.write_text(operator)
         self._config = Path(self._folder.name) / "config.json"
         self._config.write_text(json.dumps(config))
 
@@ -135,9 +144,10 @@
         scratch.mkdir(exist_ok=True)
         environment = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         environment |= {"RELAY_CONFIG": str(self._config), "TMPDIR": str(scratch)}
+        command = deploy["run"] + (f" --operator {self._operator}" if self._operator else "")
         with (Path(self._folder.name) / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment, stdout=log, stderr=log
+                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
         self._record.say(f"head started: {deploy['run']}")
         deadline = self._record.now + READY_S
