--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -19,6 +19,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_S = 10.0
+MEMORY_MB = 192  # "on scored days the limits are at most 192 MB and 1,024 descriptors"
+SOCKETS = 1024
 
 CLASSES = {
     "segment-read": (250, 1200, 2.0, 0.15),
@@ -119,7 +121,7 @@
             "listen": self.listen,
             "discovery": discovery,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
             "known": {"generation": 0, "reset": True, "instances": []},
             "settings": settings,
         }
@@ -187,6 +189,7 @@
             self.process.kill()
         if self.process:
             self.process.wait()
-        for line in self.log().splitlines():
-            self._record.line(f"log of the head: {line}")
-        self._folder.cleanup()
+        if Path(self._folder.name).exists():
+            for line in self.log().splitlines():
+                self._record.line(f"log of the head: {line}")
+            self._folder.cleanup()
