--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,6 @@
 # Case 2; see claim.txt. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-PYTHONPATH=. exec .venv/bin/python "$folder/case.py" "$folder"
+export PYTHONPATH=.
+.venv/bin/python -c "import garnetlanding.cli, review.standins.run" || exit 2
+exec .venv/bin/python "$folder/case.py" "$folder"
