Decision module: bound volumes and timers that outlast their requests

Callers saw: clients that sent reads of ever new volumes, with long deadlines, took an instance of 32 MB over its limit (34 MB): the records of requests long ended filled it.

Cause: a volume lasts for 60 s after its last request, and the timers of a request held it until its deadline, up to 60 s, although it had ended. Only time bounded both.

Change: Controller(max_records) bounds volumes without unfinished requests, the least recently used are dropped first, and timers of ended requests. Timers release ended requests after every 128 of them; their wake-ups stay unless there are more than max_records, so that calls come at the same times.

--- a/garnetlanding/decision/admission.py
+++ b/garnetlanding/decision/admission.py
@@ -104,6 +104,7 @@
         state = self._state
         request.answered = True
         state.dequeue_unsent(request)
+        state.request_ended()
         if not request.attempts:
             request.volume.reserve.level += request.reserved_units
         if state.settings.may_cancel:
--- a/garnetlanding/decision/control.py
+++ b/garnetlanding/decision/control.py
@@ -32,8 +32,11 @@
 class Controller:
     """The decision module of one instance: handles events and returns actions, both in order."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.state = ControllerState(settings, seed)
+    def __init__(
+        self, settings: api.Settings, seed: int, max_records: int = tuning.DEFAULT_MAX_RECORDS
+    ) -> None:
+        """`max_records` limits what outlasts requests: the number of volumes, and that of timers, each."""
+        self.state = ControllerState(settings, seed, max_records)
         self._poll_backoff = PollBackoff(settings.instances)
         self._admission = Admission(self.state)
         self._retries = Retries(self.state, self._admission)
--- a/garnetlanding/decision/state.py
+++ b/garnetlanding/decision/state.py
@@ -31,6 +31,7 @@
         "budgets",
         "cells",
         "derived_settings",
+        "ended_requests",
         "now",
         "requests",
         "rng",
@@ -41,15 +42,18 @@
         "volumes",
     )
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, max_records: int = tuning.DEFAULT_MAX_RECORDS
+    ) -> None:
         self.now = 0
+        self.ended_requests = 0  # since timers last released them
         self.started_at = 0
         self.rng = random.Random(seed)
-        self.timers = TimerQueue()
+        self.timers = TimerQueue(max_records)
         self.actions = ActionBuffer(tuning.MAX_LOG_LINES)
         self.requests = RequestTable()
         self.cells = CellRegistry()
-        self.volumes = VolumeRegistry(self.cells)
+        self.volumes = VolumeRegistry(self.cells, max_records)
         self.budgets = Budgets(settings)
         self.settings = settings
         self.derived_settings = DerivedSettings.derive(settings)
@@ -103,9 +107,20 @@
         settings = self.settings
         class_spec = settings.classes[arrival.request_class]
         plan = settings.plans[arrival.plan]
+        if self.volumes.is_full and arrival.volume not in self.volumes.by_name:
+            self.volumes.drop_least_recent(
+                {request.arrival.volume for request in self.requests.by_id.values()}
+            )
         volume = self.volumes.get_or_add(arrival, plan, self.now, settings)
         return self.requests.add(arrival, class_spec, plan, volume, self.now, settings.tick_us)
 
+    def request_ended(self) -> None:
+        """Make timers release ended requests from time to time; they last until the requests' deadlines."""
+        self.ended_requests += 1
+        if self.ended_requests >= max(tuning.MIN_ENDED_REQUESTS, len(self.timers) // tuning.ENDED_DIVISOR):
+            self.ended_requests = 0
+            self.timers.release(_is_ended_request)
+
     def dequeue_unsent(self, request: Request) -> None:
         """Remove a request from its queue without sending it, if it is in one."""
         if request.queued_cell is not None:
@@ -124,3 +139,7 @@
     def is_warming_up(self, health: BackendHealth) -> bool:
         """Return whether a backend started less than the warm-up time ago."""
         return self.now < health.warmup_started_at + self.settings.warmup_us
+
+
+def _is_ended_request(argument: object) -> bool:
+    return isinstance(argument, Request) and argument.answered
--- a/garnetlanding/decision/tuning.py
+++ b/garnetlanding/decision/tuning.py
@@ -61,6 +61,12 @@
 WEIGHT_EXPONENT = 0.5  # on 100/usage; below 1, because all instances react to the same delayed usage
 MAX_WEIGHT_FACTOR = 4.0  # bound on a weight, relative to its plan's
 IDLE_VOLUME_EXPIRY_US = 60 * SECOND  # after which a volume without requests is dropped
+DROPPED_VOLUMES_DIVISOR = 8  # the fraction that is dropped at once beyond the maximum
+
+# Timers release ended requests once this many requests have ended since, or a fraction of all timers.
+MIN_ENDED_REQUESTS = 128
+ENDED_DIVISOR = 8
+DEFAULT_MAX_RECORDS = 16384  # volumes, and timers of ended requests, where no limit is given
 
 # Polls of the endpoint list.
 POLL_BACKOFF_MIN_US = SECOND // 2  # first pause after an error; doubles
--- a/garnetlanding/decision/volume_registry.py
+++ b/garnetlanding/decision/volume_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
 
 from garnetlanding.decision import interface as api
 from garnetlanding.decision import tuning
@@ -13,12 +14,21 @@
 class VolumeRegistry:
     """Owns the volumes by name; a volume exists from its first request until it expires."""
 
-    __slots__ = ("_cells", "by_name")
+    __slots__ = ("_cells", "_max_volumes", "by_name")
 
-    def __init__(self, cells: CellRegistry) -> None:
-        """`cells` hold the queued requests, which are retagged when a weight changes."""
+    def __init__(self, cells: CellRegistry, max_volumes: int) -> None:
+        """`cells` hold the queued requests, which are retagged when a weight changes.
+
+        Up to `max_volumes` volumes are kept besides those with unfinished requests.
+        """
         self.by_name: dict[str, Volume] = {}
         self._cells = cells
+        self._max_volumes = max_volumes
+
+    @property
+    def is_full(self) -> bool:
+        """Whether volumes have to be dropped before another is added."""
+        return len(self.by_name) >= self._max_volumes
 
     def get_or_add(
         self, arrival: api.Arrival, plan: api.PlanSpec, now: int, settings: api.Settings
@@ -74,6 +84,21 @@
             queues = [queue for queue in self._cells.queues.values() if name in queue.flows]
             if any(queue.flows[name].queued for queue in queues):
                 continue
-            del self.by_name[name]
-            for queue in queues:
-                del queue.flows[name]
+            self._drop(name)
+
+    def drop_least_recent(self, in_use: AbstractSet[str]) -> None:
+        """Drop a fraction of the volumes, those first whose last request is longest ago.
+
+        Volumes that are `in_use`, by unfinished requests, and those with a quota of their own are kept.
+        """
+        candidates = [
+            name for name, volume in self.by_name.items() if name not in in_use and volume.has_default_quota
+        ]
+        candidates.sort(key=lambda name: self.by_name[name].reserve.refilled_at)
+        for name in candidates[: max(1, self._max_volumes // tuning.DROPPED_VOLUMES_DIVISOR)]:
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        del self.by_name[name]
+        for queue in self._cells.queues.values():
+            queue.flows.pop(name, None)
--- a/tests/decision/test_timer_queue.py
+++ b/tests/decision/test_timer_queue.py
@@ -11,7 +11,7 @@
 
 
 def test_due_callbacks_run_by_time_and_then_in_the_order_of_scheduling() -> None:
-    timers = TimerQueue()
+    timers = TimerQueue(max_obsolete=100)
     ran: list[str] = []
     timers.schedule(T0 + 2 * MS, ran.append, "late")
     timers.schedule(T0 + MS, ran.append, "first")
@@ -38,3 +38,20 @@
     for text in ("a", "b", "c"):
         actions.log(text)
     assert actions.take() == [api.Log("a"), api.Log("b")]
+
+
+def test_obsolete_timers_release_their_arguments_and_keep_their_wake_ups() -> None:
+    """Regression: requests that had ended stayed in memory until their deadlines, however many there were."""
+    timers = TimerQueue(max_obsolete=2)
+    ran: list[str] = []
+    for number in range(2):
+        timers.schedule(T0 + number, ran.append, "ended")
+    timers.schedule(T0 + 5, ran.append, "open")
+    timers.release(lambda argument: argument == "ended")
+    assert len(timers) == 3
+    assert timers.next_wake_up(T0 - 1) == 1
+    timers.schedule(T0 + 3, ran.append, "ended")
+    timers.release(lambda argument: argument == "ended")
+    assert len(timers) == 1, "dropped, since there were too many"
+    timers.run_due(T0 + 5)
+    assert ran == ["open"]
--- a/tests/decision/test_volumes.py
+++ b/tests/decision/test_volumes.py
@@ -74,3 +74,18 @@
     assert [send.backend for send in bench.sends("long_deadline")] == ["n7"]
     bench.advance(20 * MS)
     assert not bench.final_answers("long_deadline")
+
+
+def test_volumes_beyond_the_limit_are_dropped_the_least_recently_used_first() -> None:
+    """Regression: a volume lasted for 60 s after its last request, however many there were in that time."""
+    bench = DecisionBench(make_settings(), [])
+    bench.state.volumes._max_volumes = 8
+    bench.arrive("unfinished", volume="unfinished", timeout_us=30 * SECOND)
+    for number in range(40):
+        bench.advance(MS)
+        bench.arrive(f"r{number}", volume=f"v{number}", timeout_us=1)
+        bench.advance(MS)
+        bench.arrive(f"u{number}", volume="used", timeout_us=1)
+    volumes = bench.state.volumes.by_name
+    assert len(volumes) <= 8
+    assert {"unfinished", "used", "v39"} <= set(volumes)
