--- a/garnetlanding/core/admission_checks.py
+++ b/garnetlanding/core/admission_checks.py
@@ -25,6 +25,11 @@
         self.open_requests = 0  # accepted, and the response is not complete yet
         self.held_bytes = 0  # by requests that have no final answer yet
 
+    @property
+    def request_bytes(self) -> int:
+        """The memory that one open request needs, without its value."""
+        return self._limits.request_bytes
+
     @property
     def used(self) -> float:
         """The fraction in use of the limit that is closer to being exhausted."""
--- a/garnetlanding/core/engine.py
+++ b/garnetlanding/core/engine.py
@@ -23,6 +23,7 @@
     EndpointListing,
     EndpointSubscription,
     Failed,
+    MemoryHolder,
     Rejected,
     RequestSpec,
     Timers,
@@ -80,18 +81,26 @@
 
     # Called by frontends
 
-    def submit(self, spec: RequestSpec, transport: BackendTransport, on_answer: AnswerCallback) -> str:
+    def submit(
+        self,
+        spec: RequestSpec,
+        transport: BackendTransport,
+        on_answer: AnswerCallback,
+        account: MemoryHolder | None = None,
+    ) -> str:
         """Accept a request and return its ticket, the identifier that the engine gives it.
 
+        The memory that it needs is charged to its client's `account` until it has ended; if the client must
+        not hold that much, the request is rejected.
         `on_answer` is called exactly once, unless the client disconnects first; it may be called before this
         returns, with a rejection. Raises InvalidRequestError for a request that contradicts the settings.
         """
         settings = self._dispatcher.settings
         validate(spec, settings)
         self.metrics.accepted += 1
-        request = Request(f"i{self.metrics.accepted}", spec, transport, on_answer, self._timers.now)
-        self._requests.add(request)
-        if self.capacity.is_exceeded or self.fence.is_fenced:
+        request = Request(f"i{self.metrics.accepted}", spec, transport, on_answer, self._timers.now, account)
+        has_memory = self._requests.add(request)
+        if not has_memory or self.capacity.is_exceeded or self.fence.is_fenced:
             # The instance sheds load for its own capacity; the decision module does so for the backends'.
             self._requests.finish(request, Rejected(settings.max_retry_after_us))
         else:
--- a/garnetlanding/core/ports.py
+++ b/garnetlanding/core/ports.py
@@ -90,6 +90,16 @@
     at_start: bool = False  # whether it was cached before the start, and may be stale
 
 
+class MemoryHolder(Protocol):
+    """The account of a client's memory, which limits what its requests may make the instance hold."""
+
+    def charge(self, count: int) -> bool:
+        """Charge bytes; return False, without charging them, if the client must not hold them."""
+
+    def release(self, count: int) -> None:
+        """Release bytes that were charged."""
+
+
 class DecisionModule(Protocol):
     """The decision module, or a wrapper around it (the peers' coordinator, the audit)."""
 
--- a/garnetlanding/core/request.py
+++ b/garnetlanding/core/request.py
@@ -7,7 +7,14 @@
 
 from typing import Any, Protocol
 
-from garnetlanding.core.ports import Answer, AnswerCallback, BackendTransport, RequestSpec, Timer
+from garnetlanding.core.ports import (
+    Answer,
+    AnswerCallback,
+    BackendTransport,
+    MemoryHolder,
+    RequestSpec,
+    Timer,
+)
 from garnetlanding.decision.interface import Outcome
 
 
@@ -119,9 +126,11 @@
     """One accepted request: open until `answer` is set, settled once no attempt is in flight either."""
 
     __slots__ = (
+        "account",
         "answer",
         "attempts",
         "began_at",
+        "charged_bytes",
         "deadline_timer",
         "deadline_us",
         "on_answer",
@@ -137,11 +146,14 @@
         transport: BackendTransport,
         on_answer: AnswerCallback,
         now: int,
+        account: MemoryHolder | None = None,
     ) -> None:
         self.ticket = ticket
         self.spec = spec
         self.transport = transport
         self.on_answer = on_answer
+        self.account = account  # of the client
+        self.charged_bytes = 0  # to the account, until the request is settled
         self.began_at = now
         self.deadline_us = now + spec.timeout_us
         self.attempts: list[Attempt] = []
--- a/garnetlanding/core/request_table.py
+++ b/garnetlanding/core/request_table.py
@@ -53,11 +53,18 @@
         """Return the request, or None if it is unknown or settled."""
         return self._requests.get(ticket)
 
-    def add(self, request: Request) -> None:
-        """Add an accepted request and count it against the capacity."""
+    def add(self, request: Request) -> bool:
+        """Add a request and count it against the capacity; return whether its client may hold it."""
         self._capacity.open_requests += 1
         self._capacity.held_bytes += request.spec.held_bytes
         self._requests[request.ticket] = request
+        if request.account is None:
+            return True
+        needed_bytes = self._capacity.request_bytes + request.spec.held_bytes
+        if not request.account.charge(needed_bytes):
+            return False
+        request.charged_bytes = needed_bytes
+        return True
 
     def start_deadline(self, request: Request) -> None:
         """Start the timer that guarantees an answer whatever the decision module does."""
@@ -97,6 +104,9 @@
         """Remove the request if it has its final answer and no attempt in flight."""
         if request.is_settled:
             self._requests.pop(request.ticket, None)
+            if request.account:
+                request.account.release(request.charged_bytes)
+                request.charged_bytes = 0
 
     def _count_when_body_ends(self, body: Body, request: Request, answer: Answer) -> None:
         """Count a streamed response once its body has ended, complete or truncated."""
--- a/garnetlanding/daemon/assembly.py
+++ b/garnetlanding/daemon/assembly.py
@@ -59,6 +59,7 @@
 from garnetlanding.decision.control import Controller
 from garnetlanding.resp.backend_protocol import create_resp_upstream
 from garnetlanding.runtime.buffers import BufferPool
+from garnetlanding.runtime.eviction_log import EvictionLog
 from garnetlanding.runtime.scheduler import Scheduler
 
 if TYPE_CHECKING:  # a subsystem that is off is not imported
@@ -147,9 +148,12 @@
     store = open_store(config, scheduler)
     process = ProcessRegistration(config)
     settings = read_settings(stored_settings(config, store))
-    controller = Controller(effective_settings(config, process.quota, settings), config.seed)
+    controller = Controller(
+        effective_settings(config, process.quota, settings), config.seed, limits.decision_records
+    )
     core = RequestEngine(controller, scheduler, limits)
     scheduler.iteration_hooks.append(core.run_iteration)
+    EvictionLog(scheduler, pool.budget, limits.sweep_us)
     return Instance(
         config=config,
         scheduler=scheduler,
--- a/garnetlanding/daemon/clients.py
+++ b/garnetlanding/daemon/clients.py
@@ -50,4 +50,4 @@
         backends.capacity.owner = self.listener
 
     def _make_protocol(self, client: ClientConnection) -> RespClientProtocol:
-        return RespClientProtocol(self._listener_context, client)
+        return RespClientProtocol(self._listener_context, client, client.account)
--- a/garnetlanding/daemon/ninep.py
+++ b/garnetlanding/daemon/ninep.py
@@ -33,5 +33,5 @@
             "9P",
             setup.listen,
             instance.limits.ninep_client_connections,
-            lambda write: NinepClientProtocol(shared, write),
+            lambda client: NinepClientProtocol(shared, client, client.account),
         )
--- a/garnetlanding/daemon/quota_enforcement.py
+++ b/garnetlanding/daemon/quota_enforcement.py
@@ -13,7 +13,7 @@
 
 
 class QuotaEnforcement:
-    """Applies the process's quota to clients, backend connections, buffers and open requests."""
+    """Applies the process's quota to clients, backend connections, memory and open requests."""
 
     def __init__(self, instance: Instance, settings: SettingsManager, clients: RespClients) -> None:
         self._instance = instance
@@ -52,7 +52,7 @@
         return max(
             clients.utilization,
             instance.backends.capacity.utilization,
-            instance.pool.utilization,
+            instance.pool.budget.utilization,
             instance.core.capacity.used,
         )
 
@@ -61,6 +61,6 @@
         self._process.quota = quota
         self._clients.listener.capacity_quota = quota
         instance.backends.capacity.quota = quota
-        instance.pool.capacity_quota = quota
+        instance.pool.budget.quota = quota
         instance.core.capacity.quota = quota
         log.info("process quota set", extra={"kv": {"quota": round(quota, 3)}})
--- a/garnetlanding/emulator/base.py
+++ b/garnetlanding/emulator/base.py
@@ -35,6 +35,9 @@
         """Handle bytes from the client."""
         raise NotImplementedError
 
+    def fail_pending(self, reason: str) -> None:
+        """Do nothing: the connection is closed."""
+
     def close(self) -> None:
         """Handle the end of the connection."""
         self.is_closing = True
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -18,7 +18,8 @@
     `fit` returns those for another machine.
     """
 
-    program_bytes: int = 20 << 20  # the process without requests and buffers
+    program_bytes: int = 24 << 20  # the process without connections and requests
+    connection_bytes: int = 16 << 10  # per connection, without what its peer sends
     request_bytes: int = 6 << 10  # per open request, in engine and decision module, without its value
     record_bytes: int = 1 << 10  # per entry of a log or a queue
 
@@ -37,7 +38,8 @@
     # Buffers.
     buffer_bytes: int = 8192
     pool_free_max: int = 256  # free buffers kept for reuse
-    pool_max: int = 4096  # buffers in use at once, over all connections
+    # Memory that connections may hold together, in buffers: input, output, waiting replies, open requests.
+    pool_max: int = 10240
     pool_reserved: int = 16  # of these, reserved for the process itself: admin service and discovery
     unsent_bytes: int = 4 << 20  # unsent output of a connection whose peer reads slowly
 
@@ -53,10 +55,12 @@
     )  # a backend that sends nothing of a streamed value for this long has failed
     array_elements: int = 16
     array_nesting: int = 4
+    buffered_reply_bytes: int = 128 << 10  # of a backend's reply, without a value that is streamed
     name_bytes: int = 64  # of an object's key, a request id or a volume
     pipelined_commands: int = (
         64  # unanswered commands of one client connection; a client that exceeds it is disconnected
     )
+    commands_per_iteration: int = 8  # processed of one client connection
     max_invalid_commands: int = 8  # per connection, which is then closed
 
     max_usage_percent: int = 100_000  # usage of a plan's rate above this is implausible
@@ -71,6 +75,10 @@
     ninep_messages_per_iteration: int = 2  # processed of one client
     ninep_requests: int = 8  # of one client in the engine if no other client is active; more are queued
     ninep_active_us: int = 100 * MS  # a client counts as active for this long after a request
+    ninep_pending_bytes: int = 2 << 10  # per message that waits, without its data
+    ninep_unanswered_removals: int = (
+        1024  # of files to be removed on close, for clients that have disconnected
+    )
     ninep_path_bytes: int = 4096
     ninep_path_names: int = 64
     ninep_keep_open: int = 16  # files cached open on one server connection
@@ -80,9 +88,13 @@
     ninep_change_pause_us: int = 500 * MS
     ninep_change_pauses: int = 4096  # number of such files that are remembered, the newest
 
+    # Records in the decision module that outlast requests: volumes, and timers of ended requests.
+    decision_records: int = 16384
+    decision_record_bytes: int = 2560
+
     # Requests in the engine.
-    open_requests: int = 8192
-    open_bytes: int = 32 << 20  # of the values of open requests
+    open_requests: int = 13653
+    open_bytes: int = 80 << 20  # of the values of open requests
     concurrent_attempts: int = 2  # attempts of one request in flight at once if the settings allow hedging
     max_deadline_us: int = 60 * SECOND  # the longest deadline that a client may request
 
@@ -177,15 +189,17 @@
     def fit(self, memory_bytes: int, sockets: int, *, has_admin_service: bool = False) -> Limits:
         """Return these limits, fitted to a machine's memory and to its number of descriptors.
 
-        Of the memory without the program, buffers, values of open requests and the requests themselves get a
-        quarter each; the store's log and the telemetry queue get a sixteenth each. With an admin service a
-        successor process may run at the same time: what it needs to start is reserved, and the
-        two processes divide the rest.
+        Of the memory without the program and its connections, a third is for what connections hold, an eighth
+        for records of the decision module, and a sixteenth each for the store's log and the telemetry queue.
+        The rest is for what the allocator wastes. With an admin service a successor process may run at the
+        same time: what it needs to start is reserved, and the two processes divide the rest.
         """
         processes = 2 if has_admin_service else 1
-        free_bytes = max(memory_bytes - processes * self.program_bytes, memory_bytes // 8)
-        buffers = min(self.pool_max, free_bytes // 4 // self.buffer_bytes)
+        fixed_bytes = processes * self.program_bytes + sockets * self.connection_bytes
+        free_bytes = max(memory_bytes - fixed_bytes, memory_bytes // 8)
+        buffers = min(self.pool_max, free_bytes // 3 // self.buffer_bytes)
         buffers -= (processes - 1) * self.pool_reserved
+        held_bytes = buffers * self.buffer_bytes
         reserved_sockets = self.reserved_sockets + (self.successor_sockets if has_admin_service else 0)
         reserved = sockets // 6
         return replace(
@@ -197,8 +211,12 @@
             pool_max=buffers,
             pool_free_max=min(self.pool_free_max, buffers // 4),
             unsent_bytes=min(self.unsent_bytes, free_bytes // 8),
-            open_bytes=min(self.open_bytes, free_bytes // 4),
-            open_requests=min(self.open_requests, free_bytes // 4 // self.request_bytes),
+            open_bytes=min(self.open_bytes, held_bytes),
+            open_requests=min(self.open_requests, held_bytes // self.request_bytes),
+            decision_records=min(self.decision_records, free_bytes // 8 // self.decision_record_bytes),
+            ninep_unanswered_removals=min(
+                self.ninep_unanswered_removals, free_bytes // 32 // self.request_bytes
+            ),
             store_log_entries=min(self.store_log_entries, free_bytes // 16 // self.record_bytes),
             telemetry_queue=min(self.telemetry_queue, free_bytes // 16 // self.record_bytes),
         )
--- a/garnetlanding/ninep/client.py
+++ b/garnetlanding/ninep/client.py
@@ -18,6 +18,7 @@
 from garnetlanding.ninep.session import Session, SessionLimits, Steps, clunk_unused_fids
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.errors import BackendProtocolError, UnsolicitedResponseError
+from garnetlanding.runtime.memory import MemoryAccount
 from garnetlanding.runtime.protocols import BackendProtocolFactory
 from garnetlanding.runtime.scheduler import Scheduler
 from garnetlanding.runtime.stream import parse_address
@@ -60,12 +61,13 @@
         offered_versions: tuple[str, ...],
         write: Callable[[bytes], None],
         done: Callable[[], None],
+        account: MemoryAccount | None = None,
     ) -> None:
         self._write = write
         self._done = done
         session_limits = SessionLimits(limits.ninep_msize, limits.ninep_msize_min, limits.ninep_keep_open)
         self._session = Session(work.identity, session_limits, offered_versions)
-        self._framer = codec.Framer(pool, limits.ninep_msize)
+        self._framer = codec.Framer(pool, limits.ninep_msize, account=account)
         self._attempt: AttemptHandle | None = None
         self._exchange: Steps[Any] | None = None
         self._clunk_tags: set[int] = set()  # tags of clunks in flight
@@ -199,11 +201,15 @@
         self._offered_versions = offered_versions
 
     def create(
-        self, attempt: AttemptHandle, write: Callable[[bytes], None], on_idle: Callable[[], None]
+        self,
+        attempt: AttemptHandle,
+        write: Callable[[bytes], None],
+        on_idle: Callable[[], None],
+        account: MemoryAccount,
     ) -> NinepBackendProtocol:
         """Return the protocol of a new connection, which attaches as the attempt's user."""
         return NinepBackendProtocol(
-            attempt.operation, self._pool, self._limits, self._offered_versions, write, on_idle
+            attempt.operation, self._pool, self._limits, self._offered_versions, write, on_idle, account
         )
 
     def resolve_address(self, endpoint: str) -> str:
--- a/garnetlanding/ninep/client_session.py
+++ b/garnetlanding/ninep/client_session.py
@@ -22,6 +22,7 @@
 from garnetlanding.ninep.session import Identity, OpenFile, OpenMode
 from garnetlanding.ninep.setup import Export
 from garnetlanding.ninep.shared_state import SharedState
+from garnetlanding.runtime.memory import MemoryAccount
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +43,9 @@
     `client` is the connection's number in the shared state; it identifies the owner of locks and changes.
     """
 
-    def __init__(self, shared: SharedState, client: int, write: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, shared: SharedState, client: int, write: Callable[[bytes], None], account: MemoryAccount
+    ) -> None:
         self.shared = shared
         self.client = client
         self._write = write
@@ -50,8 +53,8 @@
         """Negotiated maximum message size in bytes; 0 until a version has been negotiated."""
         self.dialect: ServerDialect | None = None
         """None until a version has been negotiated."""
-        self.requests = RequestDispatcher(shared, client, ReplyWriter(self.reply, self.reply_error))
-        self.fids = FidTable(shared.limits, self.requests.pending)
+        self.requests = RequestDispatcher(shared, client, ReplyWriter(self.reply, self.reply_error), account)
+        self.fids = FidTable(shared.limits, self.requests.pending, account)
         self.handlers: Handlers = {
             codec.Tflush: self._flush,
             codec.Twalk: self._walk,
@@ -106,7 +109,7 @@
 
         def build_reply(qid: Qid) -> Message:
             fid.qid = qid
-            self.fids.by_number[request.fid] = fid
+            self.fids.add(request.fid, fid)
             return codec.Rattach(qid)
 
         self.requests.submit(
@@ -141,13 +144,13 @@
         path = resolve_walk(fid.path, names)
         self.fids.check_path(path)
         if not names:
-            self.fids.by_number[newfid] = Fid(fid.export, fid.identity, fid.path, fid.qid)
+            self.fids.add(newfid, Fid(fid.export, fid.identity, fid.path, fid.qid))
             self.reply(tag, codec.Rwalk(()))
             return
 
         def build_reply(qids: tuple[Qid, ...]) -> Message:
             if len(qids) == len(names):
-                self.fids.by_number[newfid] = Fid(fid.export, fid.identity, path, qids[-1])
+                self.fids.add(newfid, Fid(fid.export, fid.identity, path, qids[-1]))
             return codec.Rwalk(qids)
 
         operation = Walk(fid.identity, fid.path, fid.qid, names)
@@ -219,7 +222,7 @@
                 self.reply_error(tag, ErrorReply(errors.EBADF, "fid clunked"))
         self.shared.locks.release_fid(self.client, number)
         self.shared.exclusive_use.release_fid(self.client, number)
-        return self.fids.by_number.pop(number)
+        return self.fids.remove(number)
 
     def _clunk(self, tag: int, message: codec.Tclunk) -> None:
         """Process Tclunk: release the fid; a file that was opened with ORCLOSE is removed (clunk(5))."""
--- a/garnetlanding/ninep/codec.py
+++ b/garnetlanding/ninep/codec.py
@@ -19,6 +19,7 @@
 from garnetlanding.ninep.wire_format import encode as encode
 from garnetlanding.ninep.wire_format import pack_field as pack_field
 from garnetlanding.runtime.buffers import BufferChain, BufferPool
+from garnetlanding.runtime.memory import MemoryAccount
 
 VERSION = "9P2000"
 
@@ -339,8 +340,14 @@
     before the next one is decoded.
     """
 
-    def __init__(self, pool: BufferPool, max_size: int, table: MessageTable = PLAIN_MESSAGES) -> None:
-        self._received = BufferChain(pool)
+    def __init__(
+        self,
+        pool: BufferPool,
+        max_size: int,
+        table: MessageTable = PLAIN_MESSAGES,
+        account: MemoryAccount | None = None,
+    ) -> None:
+        self._received = BufferChain(pool, account)
         self.max_size = max_size
         self.table = table
 
--- a/garnetlanding/ninep/dispatcher.py
+++ b/garnetlanding/ninep/dispatcher.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,9 @@
 from garnetlanding.ninep.outcome import reply_for
 from garnetlanding.ninep.pending import PendingRequest
 from garnetlanding.ninep.shared_state import SharedState
+from garnetlanding.runtime.memory import MemoryAccount
+
+log = logging.getLogger(__name__)
 
 NO_TAG = -1
 """Placeholder tag of a request whose reply no client waits for."""
@@ -50,7 +54,11 @@
     flushes, if that request gets one.
     """
 
-    def __init__(self, shared: SharedState, client: int, replies: ReplyWriter) -> None:
+    def __init__(
+        self, shared: SharedState, client: int, replies: ReplyWriter, account: MemoryAccount
+    ) -> None:
+        """Create a dispatcher; what its requests hold is charged to `account`."""
+        self._account = account
         self._shared = shared
         self._client = client
         self._replies = replies
@@ -80,6 +88,8 @@
         if old is None or (oldtag in self.pending and self.cancel(oldtag)):
             self._replies.message(tag, codec.Rflush())
             return
+        if len(self._flushed) >= self._limits.ninep_tags:
+            raise RequestRejectedError(errors.EAGAIN, "too many requests in flight")
         old.flush_tags.append(tag)
         self._flushed[tag] = old
 
@@ -91,6 +101,7 @@
         del self.pending[tag]
         pending.settled = True
         pending.cancelled = True
+        self._release(pending)
         if pending.ticket:
             self._shared.core.client_disconnected(pending.ticket)
             self._request_ended()
@@ -107,9 +118,25 @@
         # change may also complete a clunk that waits for it.
         for tag in reversed(list(self.pending)):
             if tag in self.pending and not self.cancel(tag):
-                self.pending.pop(tag).settled = True
+                pending = self.pending.pop(tag)
+                pending.settled = True
+                self._release(pending)
         self._flushed.clear()
 
+    # Memory
+
+    def _charge(self, pending: PendingRequest) -> None:
+        """Charge a request to the client. Raises RequestRejectedError if the client must not hold it."""
+        operation = pending.operation
+        needed_bytes = self._limits.ninep_pending_bytes + (held_bytes(operation) if operation else 0)
+        if not self._account.charge(needed_bytes):
+            raise RequestRejectedError(errors.ENOMEM, "out of memory")
+        pending.charged_bytes = needed_bytes
+
+    def _release(self, pending: PendingRequest) -> None:
+        self._account.release(pending.charged_bytes)
+        pending.charged_bytes = 0
+
     # Submitting
 
     def submit(self, tag: int, pending: PendingRequest) -> None:
@@ -121,6 +148,7 @@
             raise RequestRejectedError(errors.EAGAIN, "too many requests in flight")
         if pending.is_change and not pending.target.export.writable:
             raise RequestRejectedError(errors.EROFS)
+        self._charge(pending)
         self.pending[tag] = pending
         self.submitted += 1
         if pending.is_change:
@@ -130,7 +158,14 @@
             self._admit(tag, pending)
 
     def remove_unanswered(self, fid: Fid) -> None:
-        """Remove the file of a fid that was opened with ORCLOSE, for a client that has disconnected."""
+        """Remove the file of a fid that was opened with ORCLOSE, for a client that has disconnected.
+
+        The file stays if too many such removals are in progress.
+        """
+        if self._shared.unanswered_removals >= self._limits.ninep_unanswered_removals:
+            log.warning("file not removed on close", extra={"kv": {"path": "/" + "/".join(fid.path)}})
+            return
+        self._shared.unanswered_removals += 1
         operation = Remove(fid.identity, fid.path, fid.qid)
         pending = PendingRequest(fid, operation, lambda _: codec.Rclunk(), settled=True)
         self._enqueue_change(NO_TAG, pending)
@@ -138,6 +173,7 @@
     def wait_for_changes(self, tag: int, fid: Fid, reply: Message) -> None:
         """Reply once the queued and in-flight changes of the fid's file have ended."""
         pending = PendingRequest(fid, None, lambda _: reply, must_run=True)
+        self._charge(pending)
         self.pending[tag] = pending
 
         def start() -> None:
@@ -197,6 +233,8 @@
         assert operation
 
         def on_answer(answer: Answer) -> None:
+            if tag == NO_TAG:
+                self._shared.unanswered_removals -= 1
             self._complete(tag, pending, reply_for(operation, answer, pending.build_reply))
             self._request_ended()
             if pending.change_ticket:
@@ -207,9 +245,10 @@
                 )
 
         core = self._shared.core
+        self._release(pending)  # the core charges it from now on
         try:
             pending.ticket = core.submit(
-                self._request_spec(pending, operation), self._shared.backend, on_answer
+                self._request_spec(pending, operation), self._shared.backend, on_answer, self._account
             )
         except InvalidRequestError as error:  # the configured export does not match the settings
             on_answer(Served(ErrorReply(errors.EINVAL, str(error))))
@@ -247,6 +286,7 @@
         if pending.settled:
             return
         pending.settled = True
+        self._release(pending)
         del self.pending[tag]
         if isinstance(reply, ErrorReply):
             self._replies.error_reply(tag, reply)
--- a/garnetlanding/ninep/fid_table.py
+++ b/garnetlanding/ninep/fid_table.py
@@ -11,6 +11,13 @@
 from garnetlanding.ninep.model import Path, is_valid_name
 from garnetlanding.ninep.pending import PendingRequest
 from garnetlanding.ninep.session import OpenMode
+from garnetlanding.runtime.memory import MemoryAccount
+
+FID_BYTES = 512
+"""Memory that a fid needs besides its path."""
+
+NAME_BYTES = 64
+"""Memory that a name in a path needs besides its characters."""
 
 MAX_FILE_BYTES = 1 << 63
 """The maximum size of a file: file servers store offsets as signed 64-bit integers."""
@@ -31,12 +38,35 @@
 class FidTable:
     """The fids by number. Every method raises RequestRejectedError if the fid cannot be used as requested."""
 
-    def __init__(self, limits: Limits, pending: Mapping[int, PendingRequest]) -> None:
-        """`pending` has the session's requests without a reply, which may reserve numbers or alter fids."""
+    def __init__(self, limits: Limits, pending: Mapping[int, PendingRequest], account: MemoryAccount) -> None:
+        """`pending` has the session's requests without a reply, which may reserve numbers or alter fids.
+
+        The fids are charged to `account`.
+        """
         self._limits = limits
         self._pending = pending
+        self._account = account
+        self._charged_bytes: dict[int, int] = {}
         self.by_number: dict[int, Fid] = {}
 
+    def add(self, number: int, fid: Fid) -> None:
+        """Add a fid, in place of the one that has the number."""
+        self._release(number)
+        needed_bytes = FID_BYTES + sum(len(name) + NAME_BYTES for name in fid.path)
+        if not self._account.charge(needed_bytes):
+            self.by_number.pop(number, None)
+            raise RequestRejectedError(errors.ENOMEM, "out of memory")
+        self._charged_bytes[number] = needed_bytes
+        self.by_number[number] = fid
+
+    def remove(self, number: int) -> Fid:
+        """Remove a fid and return it."""
+        self._release(number)
+        return self.by_number.pop(number)
+
+    def _release(self, number: int) -> None:
+        self._account.release(self._charged_bytes.pop(number, 0))
+
     def check_known(self, number: int) -> None:
         """Check that the fid exists."""
         if number not in self.by_number:
@@ -89,4 +119,6 @@
         """Empty the table; return the fids that were in it."""
         removed = list(self.by_number.values())
         self.by_number = {}
+        self._account.release(sum(self._charged_bytes.values()))
+        self._charged_bytes = {}
         return removed
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -14,6 +14,7 @@
 from garnetlanding.ninep.server_dialect import Handlers, ServerDialect
 from garnetlanding.ninep.server_dialects import choose_dialect
 from garnetlanding.ninep.shared_state import SharedState
+from garnetlanding.runtime.memory import MemoryAccount
 
 _UNKNOWN_VERSION = "unknown"  # version(5): the reply to a version that is not understood
 
@@ -22,15 +23,19 @@
     """Implements the listener's `ClientProtocol` for a 9P client.
 
     The connection is closed if framing is lost or the client sends too many malformed messages, because then
-    no tag can be trusted for a reply.
+    no tag can be trusted for a reply. What the client makes the process hold is charged to `account`, by
+    default that of the process.
     """
 
-    def __init__(self, shared: SharedState, write: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, shared: SharedState, write: Callable[[bytes], None], account: MemoryAccount | None = None
+    ) -> None:
+        account = account or shared.pool.budget.process_account
         self._shared = shared
         self._limits = shared.limits
-        self._framer = codec.Framer(shared.pool, shared.limits.ninep_msize)
+        self._framer = codec.Framer(shared.pool, shared.limits.ninep_msize, account=account)
         self.id = shared.register_client(self)
-        self._session = ClientSession(shared, self.id, write)
+        self._session = ClientSession(shared, self.id, write, account)
         self._handlers: Handlers = {}
         self.is_closing = False
         self.has_buffered_input = False
@@ -89,6 +94,10 @@
         except codec.FrameError:
             self.close()
 
+    def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - the end of the connection fails all requests
+        """End the session."""
+        self.close()
+
     def close(self) -> None:
         """End the session, after the client has disconnected or in order to disconnect it."""
         self.is_closing = True
--- a/garnetlanding/ninep/pending.py
+++ b/garnetlanding/ninep/pending.py
@@ -42,6 +42,8 @@
     """The core's identifier of the request; empty until it is submitted."""
     change_ticket: int = 0
     """Its ticket in the `ChangeOrder`; 0 if it has none."""
+    charged_bytes: int = 0
+    """Memory charged to its client until it is submitted to the core, which charges it from then on."""
     settled: bool = False
     """Whether its reply has been written or is no longer needed."""
     cancelled: bool = False
--- a/garnetlanding/ninep/shared_state.py
+++ b/garnetlanding/ninep/shared_state.py
@@ -55,6 +55,9 @@
         self.locks = LockTable(limits.ninep_locks)
         self.exclusive_use = ExclusiveUse()
         self.clients: dict[int, ConnectedClient] = {}
+        self.unanswered_removals = (
+            0  # of files that were opened with ORCLOSE by clients that have disconnected
+        )
         self.clock: Callable[[], float] = time.time
         self._last_client = 0
         self._start_callbacks: dict[int, Callable[[], None]] = {}  # by ticket of a queued change
--- a/garnetlanding/ops/admin_connection.py
+++ b/garnetlanding/ops/admin_connection.py
@@ -64,6 +64,10 @@
         self.is_closing = True
         self._write(self._encode(response))
 
+    def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - a call is answered as soon as it is complete
+        """Accept no more input; nothing is pending."""
+        self.close()
+
     def close(self) -> None:
         """Abandon the request and release its buffers."""
         self.is_closing = True
--- a/garnetlanding/resp/backend_protocol.py
+++ b/garnetlanding/resp/backend_protocol.py
@@ -18,6 +18,7 @@
 from garnetlanding.resp.errors import ProtocolError, SurplusReplyError
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.errors import BackendProtocolError, UnsolicitedResponseError
+from garnetlanding.runtime.memory import MemoryAccount
 from garnetlanding.runtime.protocols import BackendProtocolFactory, Write
 from garnetlanding.runtime.scheduler import Scheduler
 from garnetlanding.runtime.upstream import Upstream
@@ -53,11 +54,12 @@
         limits: Limits,
         write: Write,
         on_idle: Callable[[], None],
+        account: MemoryAccount | None = None,
     ) -> None:
         self._timers = timers
         self._write = write
         self._on_idle = on_idle
-        self._decoder = codec.Decoder(pool, limits)
+        self._decoder = codec.Decoder(pool, limits, account)
         self._max_usage_percent = limits.max_usage_percent
         self._attempt: AttemptHandle | None = None
         self.body: Body | None = None
@@ -149,9 +151,10 @@
         attempt: AttemptHandle,  # noqa: ARG002 - the protocol receives it in `begin`
         write: Write,
         on_idle: Callable[[], None],
+        account: MemoryAccount,
     ) -> RespBackendProtocol:
         """Return the protocol of a new connection."""
-        return RespBackendProtocol(self._timers, self._pool, self._limits, write, on_idle)
+        return RespBackendProtocol(self._timers, self._pool, self._limits, write, on_idle, account)
 
 
 def create_resp_upstream(scheduler: Scheduler, pool: BufferPool, limits: Limits) -> Upstream:
--- a/garnetlanding/resp/codec.py
+++ b/garnetlanding/resp/codec.py
@@ -17,13 +17,17 @@
 from garnetlanding.limits import Limits
 from garnetlanding.resp.errors import ProtocolError, Violation
 from garnetlanding.runtime.buffers import BufferChain, BufferPool
-from garnetlanding.runtime.errors import LineTooLongError
+from garnetlanding.runtime.errors import BufferPoolExhaustedError, LineTooLongError
+from garnetlanding.runtime.memory import MemoryAccount
 
 CRLF = b"\r\n"
 _CRLF_BYTES = len(CRLF)
 REPLY_ELEMENTS = 3
 """Number of elements in the reply to a request that succeeded: value, metrics, load report."""
 
+ELEMENT_BYTES = 64
+"""Memory that an element of an array needs besides its bytes."""
+
 _INTEGER_DIGITS = 18
 """Maximum number of digits of an integer or a length."""
 
@@ -80,20 +84,35 @@
 
     With `commands_only`, on the server side, only arrays of bulk strings are accepted. On the client side any
     value is accepted; a bulk string longer than `Limits.stream_threshold_bytes` must be the first element of
-    a reply, and is yielded in chunks.
+    a reply, and is yielded in chunks. What is held of incomplete values is charged to `account`, by default
+    to the process.
     """
 
-    def __init__(self, pool: BufferPool, limits: Limits, *, commands_only: bool = False) -> None:
-        self._buffer = BufferChain(pool)
+    def __init__(
+        self,
+        pool: BufferPool,
+        limits: Limits,
+        account: MemoryAccount | None = None,
+        *,
+        commands_only: bool = False,
+    ) -> None:
+        self._account = account or pool.budget.process_account
+        self._buffer = BufferChain(pool, self._account)
         self._limits = limits
         self._commands_only = commands_only
         self._max_bulk_bytes = limits.value_bytes if commands_only else limits.reply_bytes
+        max_command_bytes = limits.array_elements * (limits.value_bytes + limits.line_bytes)
+        self._max_array_bytes = max_command_bytes if commands_only else limits.buffered_reply_bytes
         self._bulk_remaining: int | None = None
         """Bytes still missing from the current bulk string; `None` between bulk strings."""
         self._bulk_start: BulkStart | None = None
         """The start of the current bulk string if it is yielded in chunks."""
         self._arrays: list[tuple[int, list[Value]]] = []
         """Length and elements so far of each incomplete array, the innermost one last."""
+        self._element_bytes = 0
+        """Size of the elements of the incomplete arrays."""
+        self._charged_bytes = 0
+        """What of `_element_bytes` has been charged to the account."""
 
     @property
     def has_partial_message(self) -> bool:
@@ -112,6 +131,8 @@
         """Discard incomplete values and release all buffers."""
         self._buffer.clear()
         self._arrays = []
+        self._element_bytes = 0
+        self._charge_elements()
         self._bulk_remaining = None
         self._bulk_start = None
 
@@ -119,6 +140,8 @@
         while True:
             element = self._next_element()
             if element is _NEED_DATA:
+                if self._element_bytes != self._charged_bytes:
+                    self._charge_elements()
                 return
             if self._bulk_remaining is not None and isinstance(element, BulkStart | BulkChunk):
                 yield element  # part of an incomplete bulk string
@@ -136,8 +159,22 @@
                 return _CONTINUE
             self._arrays.pop()
             element = elements
+        self._element_bytes = 0
         return element
 
+    def _charge_elements(self) -> None:
+        """Charge what incomplete arrays hold; complete ones, which the caller has processed, hold nothing.
+
+        Raises `BufferPoolExhaustedError` if they must not be held.
+        """
+        more_bytes = self._element_bytes - self._charged_bytes
+        if more_bytes > 0:
+            if not self._account.charge(more_bytes):
+                raise BufferPoolExhaustedError
+        elif more_bytes < 0:
+            self._account.release(-more_bytes)
+        self._charged_bytes = self._element_bytes
+
     def _next_element(self) -> Value | _NeedData:
         """Return the next element other than a non-empty array, or `_NEED_DATA`."""
         while True:
@@ -157,6 +194,10 @@
         """Decode the first line of an element; return the element if it consists of that line only."""
         if self._commands_only and kind != (b"$" if self._arrays else b"*"):
             raise ProtocolError(Violation.NOT_A_COMMAND)
+        if self._arrays:
+            self._element_bytes += len(rest) + ELEMENT_BYTES
+            if self._element_bytes > self._max_array_bytes:
+                raise ProtocolError(Violation.ARRAY_OVER_LIMIT)
         if kind == b"$":
             return self._begin_bulk(self._parse_length(rest, self._max_bulk_bytes))
         if kind == b"*":
@@ -179,6 +220,8 @@
                 return self._bulk_start
             if not self._commands_only:
                 raise ProtocolError(Violation.LENGTH_OVER_LIMIT)
+        if self._arrays and self._element_bytes + length > self._max_array_bytes:
+            raise ProtocolError(Violation.ARRAY_OVER_LIMIT)
         return _CONTINUE
 
     def _begin_array(self, length: int) -> Value | _Continue:
@@ -195,6 +238,8 @@
         if self._buffer.length < length + _CRLF_BYTES:
             return _NEED_DATA
         bulk_string = self._buffer.take(length)
+        if self._arrays:
+            self._element_bytes += length
         self._finish_bulk()
         return bulk_string
 
--- a/garnetlanding/resp/errors.py
+++ b/garnetlanding/resp/errors.py
@@ -21,6 +21,7 @@
     INVALID_LENGTH = "invalid length"
     LENGTH_OVER_LIMIT = "length over the limit"
     NESTING_OVER_LIMIT = "arrays nested too deep"
+    ARRAY_OVER_LIMIT = "array over the limit"
     UNTERMINATED_BULK_STRING = "bulk string without its end"
 
 
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -19,7 +19,15 @@
 from garnetlanding.resp.request import parse_request
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.errors import BufferPoolExhaustedError
+from garnetlanding.runtime.memory import MemoryAccount
 
+_REPLY_BYTES = 128
+"""Memory that a reply which waits for earlier ones needs besides its bytes."""
+
+_BATCH_BYTES = 16 << 10
+"""Replies are written together up to this size; longer batches would be copied without need."""
+
+_OUT_OF_MEMORY_REPLY = b"-ERR out of memory\r\n"
 _OK = b"+OK\r\n"
 _PONG = b"+PONG\r\n"
 
@@ -45,14 +53,15 @@
 class PendingReply:
     """The reply to one command, which is written after the replies to all earlier commands.
 
-    `reply` is `None` until it is known. While the command's request is in progress, `ticket` identifies it to
-    the engine and `request_id` to the client.
+    `reply` is `None` until it is known. `held_bytes` have been charged to the client while it waits. While
+    the command's request is in progress, `ticket` identifies it to the engine and `request_id` to the client.
     """
 
-    __slots__ = ("reply", "request_id", "ticket")
+    __slots__ = ("held_bytes", "reply", "request_id", "ticket")
 
     def __init__(self) -> None:
         self.reply: bytes | Body | None = None
+        self.held_bytes = 0
         self.ticket: str | None = None
         self.request_id = b""
 
@@ -85,25 +94,31 @@
     - `QUIT`: receiving -> closing; all pending replies are still written;
     - invalid RESP2, too many pipelined commands, too many invalid commands, or no buffer left: receiving ->
       closing; the client's requests in progress are aborted, and an error reply follows theirs;
+    - `fail_pending`: receiving -> closing; the client's requests in progress are aborted, and each reply that
+      is not written is replaced by an error;
     - `close`: any -> closing; the engine is told that the client has disconnected.
-    """
 
-    has_buffered_input = False
-    """`feed` processes all complete commands at once."""
+    Replies that wait for earlier ones are charged to the client's `account`. One that the client must not
+    hold is replaced by an error.
+    """
 
-    def __init__(self, context: RespListenerContext, write: Sink) -> None:
+    def __init__(
+        self, context: RespListenerContext, write: Sink, account: MemoryAccount | None = None
+    ) -> None:
+        self._account = account or context.pool.budget.process_account
         self._engine = context.engine
         self._backend = context.backend
         self._limits = context.limits
         self._accepts_clients = context.accepts_clients
         self._open_ids = context.open_ids
         self._write = write
-        self._decoder = codec.Decoder(context.pool, context.limits, commands_only=True)
+        self._decoder = codec.Decoder(context.pool, context.limits, self._account, commands_only=True)
         self._pending: deque[PendingReply] = deque()
         """Replies that are not completely written, in command order."""
         self._is_streaming = False
         """Whether the first pending reply is a value that is being streamed."""
         self.is_closing = False
+        self.has_buffered_input = False
         self.messages_received = 0
         self.invalid_messages = 0
         self.requests_received = 0
@@ -124,9 +139,15 @@
         return self._decoder.has_partial_message
 
     def feed(self, data: bytes | memoryview) -> None:
-        """Process received bytes and the commands that they complete."""
+        """Buffer received bytes and process the commands that they complete, up to a limit per call.
+
+        The limit keeps one client from blocking the event loop. While `has_buffered_input` is set,
+        `feed(b"")` processes further commands.
+        """
+        self.has_buffered_input = False
         if self.is_closing:
             return
+        remaining = self._limits.commands_per_iteration
         try:
             for arguments in self._decoder.feed(data):
                 self.messages_received += 1
@@ -134,18 +155,37 @@
                     self._process(arguments)  # type: ignore[arg-type] # commands_only: lists of bytes
                 if self.is_closing:
                     break
+                remaining -= 1
+                if not remaining:
+                    self.has_buffered_input = self._decoder.has_partial_message
+                    break
         except ProtocolError as error:
             self._close_with_error(f"Protocol error: {error}")
         except BufferPoolExhaustedError:
             # Closing the connection without an error reply would lose the replies to requests in progress.
             self._close_with_error("out of buffers")
 
+    def fail_pending(self, reason: str) -> None:
+        """Abort the requests in progress, and answer all that is pending with an error."""
+        self.is_closing = True
+        self._decoder.close()
+        error = codec.encode_error("ERR " + reason)
+        for pending in self._pending:
+            if isinstance(pending.reply, bytes):
+                self._release_held(pending)
+                pending.reply = error
+        for pending in list(self._pending):
+            if isinstance(pending.reply, Body):
+                pending.reply.end(complete=False)
+        self._abort_requests(reason)
+
     def close(self) -> None:
         """Report to the engine that the client has disconnected, and release all buffers."""
         self.is_closing = True
         for pending in list(self._pending):
             if isinstance(pending.reply, Body):
                 pending.reply.end(complete=False)
+            self._release_held(pending)
         self._decoder.close()
         for pending in self._pending:
             ticket = pending.ticket
@@ -182,7 +222,10 @@
             request_id = self._require_unused_id(arguments[2])
             self.requests_received += 1
             ticket = self._engine.submit(
-                request, self._backend, lambda answer: self._set_reply(pending, encode_answer(answer))
+                request,
+                self._backend,
+                lambda answer: self._set_reply(pending, encode_answer(answer)),
+                self._account,
             )
         except (InvalidCommandError, InvalidRequestError) as error:
             self._reject_command(pending, str(error))
@@ -211,10 +254,13 @@
     def _close_with_error(self, reason: str) -> None:
         """Abort the requests in progress, reply with an error, and then close the connection."""
         self.is_closing = True
+        self._abort_requests(reason)
+        self._set_reply(self._add_pending(), codec.encode_error("ERR " + reason))
+
+    def _abort_requests(self, reason: str) -> None:
         tickets = [pending.ticket for pending in self._pending if pending.ticket is not None]
         for ticket in tickets:
             self._engine.abort(ticket, reason)
-        self._set_reply(self._add_pending(), codec.encode_error("ERR " + reason))
 
     # Replies
 
@@ -230,8 +276,23 @@
             self._release_id(pending)
         if isinstance(reply, Body):
             reply.on_end.append(lambda complete: self._on_body_end(pending, complete=complete))
+        elif self._is_streaming or self._pending[0] is not pending:
+            self._hold(pending, reply)
         self._write_ready()
 
+    def _hold(self, pending: PendingReply, reply: bytes) -> None:
+        """Charge a reply that has to wait for earlier ones, or replace it by an error."""
+        held_bytes = len(reply) + _REPLY_BYTES
+        if self._account.charge(held_bytes):
+            pending.held_bytes = held_bytes
+        else:
+            pending.reply = _OUT_OF_MEMORY_REPLY
+
+    def _release_held(self, pending: PendingReply) -> None:
+        if pending.held_bytes:
+            self._account.release(pending.held_bytes)
+            pending.held_bytes = 0
+
     def _release_id(self, pending: PendingReply) -> None:
         """Mark the request as no longer in progress, so that its id can be reused."""
         pending.ticket = None
@@ -240,8 +301,10 @@
     def _write_ready(self) -> None:
         """Write replies in order, up to the first that is unknown or still being streamed."""
         ready: list[bytes] = []
+        ready_bytes = 0
         while not self._is_streaming and self._pending:
-            reply = self._pending[0].reply
+            pending = self._pending[0]
+            reply = pending.reply
             if reply is None:
                 break
             if isinstance(reply, Body):
@@ -249,9 +312,16 @@
                 if self._is_streaming:
                     return
                 ready = [codec.CRLF]
+                ready_bytes = 0
             else:
+                self._release_held(pending)
                 ready.append(reply)
+                ready_bytes += len(reply)
             self._pending.popleft()
+            if ready_bytes > _BATCH_BYTES:
+                self._write(b"".join(ready))
+                ready = []
+                ready_bytes = 0
         if ready:
             self._write(b"".join(ready))
 
--- a/garnetlanding/runtime/backend_connection.py
+++ b/garnetlanding/runtime/backend_connection.py
@@ -48,7 +48,9 @@
     """One connection to a backend, with the task that opens and reads it.
 
     `attempt` is the attempt in flight, or `None`. `began_at` is the time at which the current or previous
-    attempt began, `idle_since` the time at which the connection last became idle.
+    attempt began, `idle_since` the time at which the connection last became idle. `account` is that of
+    the memory which the backend makes the process hold; the connection is closed if memory is short and no
+    other holds more.
     """
 
     def __init__(self, upstream: BackendConnectionOwner, key: ConnectionKey, attempt: AttemptHandle) -> None:
@@ -56,7 +58,10 @@
         self.key = key
         self.backend = attempt.backend
         self.attempt: AttemptHandle | None = attempt
-        self.protocol = upstream.protocol_factory.create(attempt, self._write, self._on_protocol_idle)
+        self.account = upstream.pool.budget.open_account(self.close)
+        self.protocol = upstream.protocol_factory.create(
+            attempt, self._write, self._on_protocol_idle, self.account
+        )
         self.began_at = self.idle_since = upstream.scheduler.now
         self.closed = False
         self._may_have_executed = False  # the backend may have received the whole request of the attempt
@@ -80,7 +85,7 @@
         deadline = min(upstream.scheduler.now + upstream.limits.connect_timeout_us, attempt.deadline_us)
         try:
             self._stream = Stream.connect(
-                upstream.scheduler, self.key[0], upstream.pool, upstream.limits, deadline
+                upstream.scheduler, self.key[0], upstream.pool, upstream.limits, deadline, self.account
             )
             self._stream.on_write_error = self.close
             self.begin(attempt)
@@ -178,6 +183,7 @@
         else:
             self._upstream.scheduler.wake(self._task, StreamClosedError())
         self.protocol.close()
+        self.account.close()
         self._upstream.on_closed(self)
         attempt = self.attempt
         self.attempt = None
--- a/garnetlanding/runtime/buffers.py
+++ b/garnetlanding/runtime/buffers.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from garnetlanding.runtime.errors import BufferPoolExhaustedError, LineTooLongError
+from garnetlanding.runtime.memory import MemoryAccount, MemoryBudget
 
 LINE_END = b"\r\n"
 
@@ -12,44 +13,32 @@
 class BufferPool:
     """A pool of buffers of `buffer_bytes` bytes each.
 
-    At most `max_in_use` buffers are in use at once, and up to `max_free` unused ones are cached. During an
-    upgrade two processes of the instance share all but the first `unshared` buffers, and this process may use
-    the fraction `capacity_quota` of the shared ones.
+    Each buffer is charged to an account of `budget`, which has room for `max_in_use` buffers but also counts
+    what else connections hold. Up to `max_free` unused buffers are cached. During an upgrade two processes of
+    the instance share all but the first `unshared` buffers.
     """
 
     def __init__(self, buffer_bytes: int, max_free: int, max_in_use: int, unshared: int = 0) -> None:
         self.buffer_bytes = buffer_bytes
         self.scratch = bytearray(buffer_bytes)  # for data that is consumed within the same call
         self.in_use = 0
-        self.capacity_quota = 1.0
+        self.budget = MemoryBudget(max_in_use * buffer_bytes, unshared * buffer_bytes)
         self._max_free = max_free
-        self._max_shared = max_in_use - unshared
-        self._unshared = unshared
         self._free: list[bytearray] = []
 
-    @property
-    def utilization(self) -> float:
-        """Fraction of the shared buffers in use, from 0 to 1."""
-        return max(0, self.in_use - self._unshared) / self._max_shared
+    def acquire(self, account: MemoryAccount) -> bytearray:
+        """Return a buffer with undefined content.
 
-    @property
-    def is_scarce(self) -> bool:
-        """Whether more than half of the buffers available to this process are in use."""
-        return 2 * self.in_use > self._max_available
-
-    @property
-    def _max_available(self) -> float:
-        return self._unshared + self._max_shared * self.capacity_quota
-
-    def acquire(self) -> bytearray:
-        """Return a buffer with undefined content. Raises `BufferPoolExhaustedError` if all are in use."""
-        if self.in_use >= self._max_available:
+        Raises `BufferPoolExhaustedError` if the account must not hold it.
+        """
+        if not account.charge(self.buffer_bytes):
             raise BufferPoolExhaustedError
         self.in_use += 1
         return self._free.pop() if self._free else bytearray(self.buffer_bytes)
 
-    def release(self, buffer: bytearray) -> None:
+    def release(self, buffer: bytearray, account: MemoryAccount) -> None:
         """Return a buffer to the pool."""
+        account.release(self.buffer_bytes)
         self.in_use -= 1
         if len(self._free) < self._max_free:
             self._free.append(buffer)
@@ -58,13 +47,15 @@
 class BufferChain:
     """A FIFO queue of bytes in pooled buffers; each buffer is released once all of it has been read.
 
-    `length` is the number of bytes in the queue.
+    `length` is the number of bytes in the queue. Its buffers are charged to `account`, by default to the
+    process.
     """
 
-    __slots__ = ("_buffers", "_end", "_pool", "_start", "length")
+    __slots__ = ("_account", "_buffers", "_end", "_pool", "_start", "length")
 
-    def __init__(self, pool: BufferPool) -> None:
+    def __init__(self, pool: BufferPool, account: MemoryAccount | None = None) -> None:
         self._pool = pool
+        self._account = account or pool.budget.process_account
         self._buffers: deque[bytearray] = deque()
         self._start = 0  # offset of the first byte in the first buffer
         self._end = 0  # offset after the last byte in the last buffer
@@ -79,7 +70,7 @@
         remaining = len(data)
         while remaining:
             if not self._buffers or self._end == self._pool.buffer_bytes:
-                self._buffers.append(self._pool.acquire())
+                self._buffers.append(self._pool.acquire(self._account))
                 self._end = 0
             step = min(remaining, self._pool.buffer_bytes - self._end)
             self._buffers[-1][self._end : self._end + step] = data[offset : offset + step]
@@ -139,7 +130,7 @@
             self._release_first()
 
     def _release_first(self) -> None:
-        self._pool.release(self._buffers.popleft())
+        self._pool.release(self._buffers.popleft(), self._account)
         self._start = 0
         if not self._buffers:
             self._end = 0
--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -39,13 +39,15 @@
     """One accepted connection, with the task that serves it.
 
     The connection is its protocol's `Write` (it is called with the bytes to send) and its `Sink` for streamed
-    values. `closing` is the state machine of its graceful close.
+    values. `closing` is the state machine of its graceful close, `account` that of the memory which the
+    client makes the process hold.
     """
 
     def __init__(self, listener: ClientConnectionOwner, sock: socket.socket) -> None:
         self._listener = listener
         self._scheduler = listener.scheduler
-        self.stream = Stream(listener.scheduler, sock, listener.pool, listener.limits)
+        self.account = listener.pool.budget.open_account(self._on_evicted)
+        self.stream = Stream(listener.scheduler, sock, listener.pool, listener.limits, self.account)
         self.protocol = listener.protocol_factory(self)
         self.closing = ConnectionClose()
         self._wake_on_write = False  # set while the task waits without reading
@@ -91,7 +93,7 @@
     def write_blocked(self) -> bool:
         """Whether too many bytes are unsent; while buffers are scarce, any unsent byte is too many."""
         listener = self._listener
-        max_unsent_bytes = 0 if listener.pool.is_scarce else listener.limits.stream_window_bytes
+        max_unsent_bytes = 0 if listener.pool.budget.is_scarce else listener.limits.stream_window_bytes
         return not self.stream.closed and self.stream.unsent_bytes > max_unsent_bytes
 
     def when_writable(self, call: Callable[[], None]) -> None:
@@ -103,6 +105,21 @@
         self.closing.apply(CloseEvent.ABORTED)
         self.stream.close()
 
+    def _on_evicted(self) -> None:
+        """Free what the client makes the process hold, since memory is short and no client holds more.
+
+        If the client has read everything so far, its open requests are answered with an error. The rest of
+        its input is not processed.
+        """
+        if self.closing.accepts_input and self.stream.flushed:
+            self.protocol.fail_pending("out of memory")
+        if self.closing.accepts_input and self.stream.flushed:
+            self._close_on(CloseEvent.CLOSE_REQUESTED)
+            self._scheduler.wake(self._task, CloseRequestedError())
+        else:
+            self.abort()
+            self.protocol.close()
+
     # Closing between requests
 
     def close_if_idle(self) -> None:
@@ -153,6 +170,7 @@
             self.closing.apply(CloseEvent.ABORTED)
             self.protocol.close()
             self.stream.close()
+            self.account.close()
             self._listener.on_closed(self)
 
     def _serve(self) -> None:
--- a/garnetlanding/runtime/errors.py
+++ b/garnetlanding/runtime/errors.py
@@ -16,9 +16,9 @@
 
 
 class BufferPoolExhaustedError(RuntimeLayerError):
-    """All buffers are in use.
+    """No buffer may be used for the connection, since no other connection holds more memory.
 
-    The connection that needs one has to be closed, so that the process stays within its memory limit.
+    It has to be closed, so that the process stays within its memory limit.
     """
 
 
--- a/garnetlanding/runtime/protocols.py
+++ b/garnetlanding/runtime/protocols.py
@@ -13,6 +13,7 @@
 
 from garnetlanding.core.body import Body
 from garnetlanding.core.ports import AttemptHandle
+from garnetlanding.runtime.memory import MemoryAccount
 
 Write = Callable[[bytes], None]
 """Sends bytes in order; a client protocol that streams values needs the core's `Sink` instead."""
@@ -58,6 +59,13 @@
     def feed(self, data: bytes | memoryview) -> None:
         """Process received bytes; `data` is only valid during the call."""
 
+    def fail_pending(self, reason: str) -> None:
+        """Accept no more input; discard responses that wait, and answer what is pending with an error.
+
+        The errors are written at once and are short. A protocol whose client can tell without them that its
+        requests have failed may write nothing.
+        """
+
     def close(self) -> None:
         """Abandon open requests and release all buffers. May be called more than once."""
 
@@ -105,10 +113,13 @@
     """Creates protocols for `Upstream` and decides which attempts may share a connection."""
 
     @abstractmethod
-    def create(self, attempt: AttemptHandle, write: Write, on_idle: Callable[[], None]) -> BackendProtocol:
+    def create(
+        self, attempt: AttemptHandle, write: Write, on_idle: Callable[[], None], account: MemoryAccount
+    ) -> BackendProtocol:
         """Return the protocol of a new connection that is opened for the attempt.
 
-        It sends bytes with `write` and calls `on_idle` when the connection is free for another attempt.
+        It sends bytes with `write` and calls `on_idle` when the connection is free for another attempt. What
+        it holds of the backend's responses is charged to `account`.
         """
 
     def resolve_address(self, endpoint: str) -> str:
--- a/garnetlanding/runtime/stream.py
+++ b/garnetlanding/runtime/stream.py
@@ -16,6 +16,7 @@
     DeadlineExceededError,
     StreamClosedError,
 )
+from garnetlanding.runtime.memory import MemoryAccount
 from garnetlanding.runtime.scheduler import HANGUP, READ, WRITE, Scheduler
 
 MAX_PORT = 65535
@@ -66,18 +67,26 @@
 class Stream:
     """A connected TCP socket.
 
-    Only tasks may call the methods that wait (`connect`, `read`, `wait_for_peer_close`). `read_failed` is set
-    if the connection ended with an error, such as a reset, instead of an orderly close; what was received
-    before may then be incomplete. `on_flushed` is called once, when the kernel has accepted everything
-    written; `on_write_error` is called when the stream has been closed because a write failed.
+    Unsent output is charged to `account`, by default to the process. Only tasks may call the methods that
+    wait (`connect`, `read`, `wait_for_peer_close`). `read_failed` is set if the connection ended with an
+    error, such as a reset, instead of an orderly close; what was received before may then be incomplete.
+    `on_flushed` is called once, when the kernel has accepted everything written; `on_write_error` is called
+    when the stream has been closed because a write failed.
     """
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket, pool: BufferPool, limits: Limits) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sock: socket.socket,
+        pool: BufferPool,
+        limits: Limits,
+        account: MemoryAccount | None = None,
+    ) -> None:
         self._scheduler = scheduler
         self._sock = sock
         self._pool = pool
         self._limits = limits
-        self._unsent = BufferChain(pool)
+        self._unsent = BufferChain(pool, account)
         self._is_writing = False  # a task is writing the unsent bytes
         self.closed = False
         self.read_failed = False
@@ -86,7 +95,13 @@
 
     @classmethod
     def connect(
-        cls, scheduler: Scheduler, address: str, pool: BufferPool, limits: Limits, deadline: int
+        cls,
+        scheduler: Scheduler,
+        address: str,
+        pool: BufferPool,
+        limits: Limits,
+        deadline: int,
+        account: MemoryAccount | None = None,
     ) -> Stream:
         """Open a connection.
 
@@ -104,7 +119,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(scheduler, sock, pool, limits)
+        return cls(scheduler, sock, pool, limits, account)
 
     # Reading
 
--- a/garnetlanding/store/writer_machine.py
+++ b/garnetlanding/store/writer_machine.py
@@ -67,6 +67,10 @@
             log.warning("follower rejected", extra={"kv": {"why": problem}})
             self.is_closing = True
 
+    def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - the follower connects again
+        """Stop sending; nothing is pending."""
+        self.close()
+
     def close(self) -> None:
         """Stop sending: the connection is closed."""
         self.is_closing = True
--- a/tests/golden/test_golden_protocols.py
+++ b/tests/golden/test_golden_protocols.py
@@ -149,6 +149,8 @@
 
     def send(self, data: bytes) -> None:
         self.protocol.feed(data)
+        while self.protocol.has_buffered_input:
+            self.protocol.feed(b"")
         self.record(f"> {format_bytes(data)}")
 
     def answer(self, ticket: str, answer: Served | Rejected | Failed, what: str) -> None:
