Departed clients: no attempt of a change begins after its client has gone

Cause: a change that a server may have got cannot be cancelled, so the 9P front kept it open at the core and did not say that its client was gone. A reset is then followed by a further attempt, as for any request.

Change: RequestEngine.finish_without_client: the attempt in flight ends, later changes wait for it as before, an attempt that no server can have got in full is stopped, and no other begins. What waits and has not begun, as a Tremove behind another change, is dropped. On RESP2 an attempt that is not sent completely is stopped too where attempts may not be cancelled: the rest of a long write was sent on for a client that had gone.

Cost: one flag looked at for each attempt.

--- a/garnetlanding/core/dispatcher.py
+++ b/garnetlanding/core/dispatcher.py
@@ -10,7 +10,7 @@
 from garnetlanding.core.event_feed import EventFeed
 from garnetlanding.core.fencing import Fence
 from garnetlanding.core.metrics import RequestMetrics
-from garnetlanding.core.ports import Served, Timers
+from garnetlanding.core.ports import Failed, Served, Timers
 from garnetlanding.core.request import Attempt
 from garnetlanding.core.request_table import RequestTable
 from garnetlanding.core.retry_safety import may_repeat
@@ -85,6 +85,7 @@
     def _may_dispatch(self, attempt: Attempt, now: int) -> bool:
         return (
             not self._fence.is_fenced
+            and not attempt.request.client_has_left
             and now < attempt.deadline_us
             and attempt.address() is not None  # None also if the request has its final answer
             and attempt.number < self.settings.max_attempts
@@ -128,4 +129,6 @@
                 load_report,
             )
         )
+        if request.client_has_left and not request.in_flight():
+            self._requests.withdraw(request.ticket, Failed("client left"))
         self._requests.remove_if_settled(request)
--- a/garnetlanding/core/engine.py
+++ b/garnetlanding/core/engine.py
@@ -36,6 +36,8 @@
 
 log = logging.getLogger(__name__)
 
+_CLIENT_LEFT = "client left"
+
 
 class RequestEngine:
     """One instance's requests, from submission to the final answer.
@@ -119,9 +121,26 @@
 
     def client_disconnected(self, ticket: str) -> None:
         """Withdraw the request of a client that has disconnected; its callback is not called any more."""
-        if request := self._requests.get(ticket):
-            request.on_answer = _discard_answer
-        self.abort(ticket, "client left")
+        request = self._requests.get(ticket)
+        if request is None:
+            return
+        request.on_answer = _discard_answer
+        self.abort(ticket, _CLIENT_LEFT)
+        request.stop_unwritten()
+
+    def finish_without_client(self, ticket: str) -> None:
+        """End the request of a client that has disconnected with the attempt in flight; begin no further one.
+
+        For a request whose end others wait for. Its callback is called, at once if no attempt in flight can
+        have been received in full.
+        """
+        request = self._requests.get(ticket)
+        if request is None or request.answer is not None:
+            return
+        request.client_has_left = True
+        request.stop_unwritten()
+        if not request.in_flight():
+            self._requests.withdraw(ticket, Failed(_CLIENT_LEFT))
 
     # Called on behalf of operators
 
--- a/garnetlanding/core/request.py
+++ b/garnetlanding/core/request.py
@@ -71,6 +71,11 @@
         self._is_written = False
         self._response_started_at: int | None = None
 
+    @property
+    def is_written(self) -> bool:
+        """Whether the backend may have received all of it."""
+        return self._is_written
+
     @property
     def duration_us(self) -> int:
         """The latency: up to the first byte of the response if that was reported, otherwise up to the end.
@@ -131,6 +136,7 @@
         "attempts",
         "began_at",
         "charged_bytes",
+        "client_has_left",
         "deadline_timer",
         "deadline_us",
         "on_answer",
@@ -154,12 +160,19 @@
         self.on_answer = on_answer
         self.account = account  # of the client
         self.charged_bytes = 0  # to the account, until the request is settled
+        self.client_has_left = False  # no further attempt begins
         self.began_at = now
         self.deadline_us = now + spec.timeout_us
         self.attempts: list[Attempt] = []
         self.answer: Answer | None = None  # set once, never changed
         self.deadline_timer: Timer | None = None
 
+    def stop_unwritten(self) -> None:
+        """Stop the attempts in flight that no backend can have received in full."""
+        for attempt in self.in_flight():
+            if not attempt.is_written:
+                attempt.stop(Outcome.CANCELLED)
+
     def in_flight(self) -> list[Attempt]:
         """Return the attempts that have not finished, in the order in which they were sent."""
         return [attempt for attempt in self.attempts if attempt.outcome is None]
--- a/garnetlanding/ninep/client_session.py
+++ b/garnetlanding/ninep/client_session.py
@@ -162,9 +162,10 @@
     def mark_open(self, number: int, fid: Fid, file: OpenFile, open_mode: OpenMode) -> int:
         """Mark a fid as open and return the iounit for the client, in bytes.
 
-        Raises RequestRejectedError for an exclusive-use file that is already open.
+        Raises RequestRejectedError for an exclusive-use file that is already open. Nothing is acquired for a
+        fid that has been released in the meantime, or whose client has disconnected.
         """
-        if file.qid.type & QTEXCL:
+        if file.qid.type & QTEXCL and self.fids.by_number.get(number) is fid:
             identity = (fid.export.name, file.qid.path)
             if not self.shared.exclusive_use.acquire(identity, self.client, number):
                 raise RequestRejectedError(errors.EBUSY)
--- a/garnetlanding/ninep/dispatcher.py
+++ b/garnetlanding/ninep/dispatcher.py
@@ -110,19 +110,34 @@
         return True
 
     def cancel_all(self) -> None:
-        """End the session's requests: changes that may have been executed complete without a reply.
+        """End the session's requests.
 
-        All other requests are cancelled.
+        A change that a server may have executed ends with its attempt in flight, without a reply: later
+        changes wait for it, but it is not attempted again. All other requests are cancelled.
         """
         # In reverse order, so that cancelling a request does not submit one queued behind it. Cancelling a
         # change may also complete a clunk that waits for it.
         for tag in reversed(list(self.pending)):
             if tag in self.pending and not self.cancel(tag):
-                pending = self.pending.pop(tag)
-                pending.settled = True
-                self._release(pending)
+                self._abandon(self.pending.pop(tag))
         self._flushed.clear()
 
+    def _abandon(self, pending: PendingRequest) -> None:
+        """End a request that cannot be cancelled, for a client that has disconnected.
+
+        The removal of a file that was opened with ORCLOSE goes on: it would follow from the disconnect too.
+        """
+        pending.settled = True
+        self._release(pending)
+        if pending.operation is None or pending.target.remove_on_close:
+            return
+        if pending.ticket:
+            self._shared.core.finish_without_client(pending.ticket)
+        else:
+            # Nothing of it has begun, and nothing may begin now.
+            pending.cancelled = True
+            self._shared.finish_change(self._client, pending.change_ticket, outcome_unknown=False)
+
     # Memory
 
     def _charge(self, pending: PendingRequest) -> None:
--- a/tests/core/test_client_departures.py
+++ b/tests/core/test_client_departures.py
@@ -6,14 +6,18 @@
 
 import pytest
 
+from garnetlanding.decision.interface import Outcome
+from garnetlanding.emulator.backend import EmulatedBackend
+from garnetlanding.emulator.discovery import EmulatedEndpoint
 from garnetlanding.ninep import codec as p9
 from garnetlanding.resp import codec
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.errors import BufferPoolExhaustedError
 from tests.support.client_disconnects import PING, QUIT, InstanceWithoutBackends, RawClient, delay_connects
 from tests.support.clock import MS, SECOND
+from tests.support.decision_bench import make_settings
 from tests.support.ninep_instance import NinepClient, NinepInstance, received_messages
-from tests.support.simulated_instance import SimulatedInstance, read_command
+from tests.support.simulated_instance import LoopbackClient, SimulatedInstance, read_command
 
 BAD = codec.encode_command([b"NO"])
 
@@ -160,3 +164,54 @@
         < connection.protocol.messages_received * len(PING)
         <= instance.limits.read_bytes_per_iteration + instance.limits.buffer_bytes
     )
+
+
+class InstanceWithBackendResets(SimulatedInstance):
+    """An instance with one backend; attempts may be cancelled or not, as its settings say."""
+
+    def __init__(self, may_cancel: bool, **limits: int) -> None:
+        super().__init__(
+            make_settings(parallel_attempts=False, max_attempts=4, instances=1, may_cancel=may_cancel),
+            **limits,
+        )
+        self.backend = self.server(EmulatedBackend)
+        self.list_endpoints(EmulatedEndpoint("b0", self.backend.address, 0))
+        self.listener = self.start_resp_listener()
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("how", DISCONNECTS)
+def test_no_further_attempt_begins_for_a_client_that_has_disconnected(how: str, may_cancel: bool) -> None:
+    """A reset long after the client's close, of an attempt that had been sent, is not followed by another."""
+    instance = InstanceWithBackendResets(may_cancel)
+    instance.backend.holds_responses = True
+    client = RawClient(instance, instance.listener.address)
+    client.send_bytes(read_command(d=1400))
+    assert len(instance.backend.received) == 1
+    DISCONNECTS[how](client)
+    instance.run(200 * MS)
+    instance.backend.close_connections()
+    instance.run(SECOND, 50 * MS)
+    assert len(instance.backend.received) == 1
+    assert instance.core.open_requests == 0
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_an_attempt_that_is_not_sent_completely_ends_with_its_client(may_cancel: bool) -> None:
+    """Regression: where attempts may not be cancelled, the rest of a long write was sent on for a client that
+    had gone, and its backend began it whenever it had read all of it."""
+    instance = InstanceWithBackendResets(
+        may_cancel, buffer_bytes=4096, unsent_bytes=1 << 24, value_bytes=1 << 23
+    )
+    warm_up = RawClient(instance, instance.listener.address)
+    warm_up.send_bytes(read_command())
+    backend_side = next(iter(instance.backend.listener._clients))
+    instance.stop_polling(backend_side.stream._sock)  # the backend reads nothing more for now
+    client = LoopbackClient(instance, instance.listener.address)
+    client.send_bytes(read_command("big", verb="BLK.WRITE", d=1400, body=b"x" * (7 << 20)))
+    assert [attempt.is_written for attempt in instance.core.started_attempts] == [True, False]
+    client.close()
+    instance.run(200 * MS)
+    assert instance.core.started_attempts[-1].outcome is Outcome.CANCELLED
+    assert instance.resp_upstream.capacity.open_count == 0
+    assert [command[0] for command in instance.backend.received] == [b"BLK.READ"]
