9P: bound the entries that are held while their attributes are asked

Need: a directory read of a 9P2000 client at a 9P2000.L server held up to 64 KiB of entries, some 1,300 to 2,700, while it asked for the attributes of each: by reading, up to 80 connections with about 1 MB each, which no account counts.

Change: such a read asks for 8 KiB of entries at most; the next read goes on from there, as the protocol has it.

--- a/garnetlanding/ninep/client_dialect.py
+++ b/garnetlanding/ninep/client_dialect.py
@@ -14,6 +14,9 @@
 MIN_LISTING_BYTES = 4096
 """Minimum size of a 9P2000 directory read, whose entries are larger than those of Rreaddir."""
 
+MAX_ATTRIBUTE_LISTING_BYTES = 8192
+"""Maximum size of a directory read whose entries are held while the attributes of each are requested."""
+
 
 @dataclass(frozen=True, slots=True)
 class NewFile:
--- a/garnetlanding/ninep/operations.py
+++ b/garnetlanding/ninep/operations.py
@@ -13,6 +13,7 @@
 
 from garnetlanding.ninep import codec, errors
 from garnetlanding.ninep.client_dialect import (
+    MAX_ATTRIBUTE_LISTING_BYTES,
     MIN_LISTING_BYTES,
     ClientDialect,
     NewFile,
@@ -225,7 +226,9 @@
     def steps(self, session: Session, dialect: ClientDialect) -> Steps[list[DirectoryEntry]]:
         """Return the entries; the list is empty at the end of the directory."""
         assert self.qid
-        count = max(self.count, MIN_LISTING_BYTES) if self.attributes else self.count
+        count = self.count
+        if self.attributes:
+            count = min(max(count, MIN_LISTING_BYTES), MAX_ATTRIBUTE_LISTING_BYTES)
         cookie = self.cookie
         while True:
             entries = yield from dialect.list_entries(
