--- a/tests/core/test_client_departures.py
+++ b/tests/core/test_client_departures.py
@@ -194,6 +194,7 @@
     instance.run(SECOND, 50 * MS)
     assert len(instance.backend.received) == 1
     assert instance.core.open_requests == 0
+    assert instance.pool.budget.used_bytes == 0
 
 
 @pytest.mark.parametrize("may_cancel", [True, False])
--- a/tests/ninep/test_departed_clients.py
+++ b/tests/ninep/test_departed_clients.py
@@ -131,6 +131,7 @@
     instance.run(3 * SECOND, 50 * MS)
     assert changes_received(instance) == before
     assert instance.core.open_requests == 0
+    assert instance.pool.budget.used_bytes == 0
     assert len(instance.shared_state.order) == 0
 
 
