Client connections: one with commands that wait for their turn is not evicted

Need: since at most 8 commands of a connection are processed in an iteration, a connection may have commands that have been read, and no response pending.

Change: evictable_from is None while a protocol has buffered input.

Measured: the new test fails without the change.

--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -70,6 +70,8 @@
         protocol = self.protocol
         if protocol.pending_responses or protocol.has_session_state or not self.stream.flushed:
             return None
+        if protocol.has_buffered_input:
+            return None
         if protocol.has_partial_message:
             return (self._message_began_at or self.last_used_at) + limits.new_client_timeout_us
         # A client that has sent no request, at most a greeting, is unlikely to send one soon.
--- a/tests/runtime/test_listener.py
+++ b/tests/runtime/test_listener.py
@@ -4,6 +4,7 @@
 
 from garnetlanding.resp import codec
 from tests.support.clock import SECOND
+from tests.support.resp import PING
 from tests.support.runtime import InstanceWithBackend
 from tests.support.simulated_instance import LoopbackClient, read_command
 
@@ -42,3 +43,15 @@
     late = LoopbackClient(instance, front.address)
     assert late.closed
     assert SECOND
+
+
+def test_connection_with_buffered_commands_is_not_evicted() -> None:
+    """Commands that have been read and wait for their turn would be lost with the connection."""
+    instance = InstanceWithBackend()
+    listener = instance.start_resp_listener()
+    client = instance.connect(listener.address)
+    client.send_bytes(PING)
+    connection = instance.accepted_end(listener, client)
+    assert connection.evictable_from is not None
+    connection.protocol.has_buffered_input = True
+    assert connection.evictable_from is None
