--- a/benchmarks/memory_floods.py
+++ b/benchmarks/memory_floods.py
@@ -15,12 +15,13 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 import click
 from rich.console import Console
 
 from tests.support.flooded_instance import FloodedInstance, SoundClient
-from tests.support.flooding_clients import FLOODS, FloodingClient
+from tests.support.flooding_clients import FLOODS, Flood, FloodingClient
 
 SOUND_CLIENTS = 8
 SOCKETS = {32: 256}
@@ -31,10 +32,24 @@
 PAUSE_S = (0.5, 2.0)
 
 
-async def flood_once(instance: FloodedInstance, generator: random.Random) -> str:
+@dataclass(frozen=True)
+class Choice:
+    """What each flood is drawn from: one kind or all, a fixed number of clients or a random one."""
+
+    floods: tuple[Flood, ...]
+    clients: int | None
+
+    def draw(self, generator: random.Random) -> tuple[list[Flood], int]:
+        """Return the kinds of the next flood, and how many clients each has."""
+        most = min(MAX_FLOODS_AT_ONCE, len(self.floods))
+        floods = generator.sample(self.floods, generator.randint(1, most))
+        clients = self.clients or generator.randint(10, MAX_FLOODING_CLIENTS)
+        return floods, clients // len(floods)
+
+
+async def flood_once(instance: FloodedInstance, choice: Choice, generator: random.Random) -> str:
     """Flood the instance for some seconds; return what was done."""
-    floods = generator.sample(FLOODS, generator.randint(1, MAX_FLOODS_AT_ONCE))
-    count = generator.randint(10, MAX_FLOODING_CLIENTS) // len(floods)
+    floods, count = choice.draw(generator)
     stop = asyncio.Event()
     clients = [FloodingClient(number, flood, instance) for flood in floods for number in range(count)]
     tasks = [asyncio.create_task(client.run(stop)) for client in clients]
@@ -44,7 +59,9 @@
     return f"{count} clients each: " + ", ".join(flood.name for flood in floods)
 
 
-async def soak(instance: FloodedInstance, minutes: float, generator: random.Random, console: Console) -> int:
+async def soak(
+    instance: FloodedInstance, minutes: float, choice: Choice, generator: random.Random, console: Console
+) -> int:
     """Flood until the time is over; return the number of breaches."""
     await instance.start()
     stop = asyncio.Event()
@@ -54,7 +71,7 @@
     breaches = 0
     while time.monotonic() < ends_at:
         before = [client.replies["served"] for client in sound]
-        done = await flood_once(instance, generator)
+        done = await flood_once(instance, choice, generator)
         served = [client.replies["served"] - count for client, count in zip(sound, before, strict=True)]
         instance.check()
         if not min(served):
@@ -74,13 +91,16 @@
 @click.option("--minutes", default=10.0, show_default=True, help="How long.")
 @click.option("--seed", default=1, show_default=True, help="Of the floods.")
 @click.option("--memory-mb", default=192, show_default=True, help="The limit of the instance's memory.")
-def main(minutes: float, seed: int, memory_mb: int) -> None:
+@click.option("--flood", type=click.Choice([flood.name for flood in FLOODS]), help="Only this kind.")
+@click.option("--clients", type=int, help="How many flooding clients; random if not given.")
+def main(minutes: float, seed: int, memory_mb: int, flood: str | None, clients: int | None) -> None:
     """Run the soak."""
+    choice = Choice(tuple(kind for kind in FLOODS if flood in (None, kind.name)), clients)
     with tempfile.TemporaryDirectory() as folder:
         sockets = SOCKETS.get(memory_mb, DEFAULT_SOCKETS)
         instance = FloodedInstance(pathlib.Path(folder), memory_mb, sockets, seed)
         try:
-            breaches = asyncio.run(soak(instance, minutes, random.Random(seed), Console()))
+            breaches = asyncio.run(soak(instance, minutes, choice, random.Random(seed), Console()))
         finally:
             instance.close()
     sys.exit(1 if breaches else 0)
