Names: evict_larger for make_room; one constant for a client that has left

Need: make_room is no term of the field, and the text of the failure stood in two modules of the core.

Change: names only; behaviour and assertions are as they were.

--- a/garnetlanding/core/dispatcher.py
+++ b/garnetlanding/core/dispatcher.py
@@ -11,7 +11,7 @@
 from garnetlanding.core.fencing import Fence
 from garnetlanding.core.metrics import RequestMetrics
 from garnetlanding.core.ports import Failed, Served, Timers
-from garnetlanding.core.request import Attempt
+from garnetlanding.core.request import CLIENT_LEFT, Attempt
 from garnetlanding.core.request_table import RequestTable
 from garnetlanding.core.retry_safety import may_repeat
 from garnetlanding.decision.interface import Outcome, Result, Send, Settings
@@ -130,5 +130,5 @@
             )
         )
         if request.client_has_left and not request.in_flight():
-            self._requests.withdraw(request.ticket, Failed("client left"))
+            self._requests.withdraw(request.ticket, Failed(CLIENT_LEFT))
         self._requests.remove_if_settled(request)
--- a/garnetlanding/core/engine.py
+++ b/garnetlanding/core/engine.py
@@ -28,7 +28,7 @@
     RequestSpec,
     Timers,
 )
-from garnetlanding.core.request import Request
+from garnetlanding.core.request import CLIENT_LEFT, Request
 from garnetlanding.core.request_table import RequestTable
 from garnetlanding.core.retry_safety import may_run_elsewhere
 from garnetlanding.decision import interface as api
@@ -36,8 +36,6 @@
 
 log = logging.getLogger(__name__)
 
-_CLIENT_LEFT = "client left"
-
 
 class RequestEngine:
     """One instance's requests, from submission to the final answer.
@@ -125,7 +123,7 @@
         if request is None:
             return
         request.on_answer = _discard_answer
-        self.abort(ticket, _CLIENT_LEFT)
+        self.abort(ticket, CLIENT_LEFT)
         request.stop_unwritten()
 
     def finish_without_client(self, ticket: str) -> None:
@@ -140,7 +138,7 @@
         request.client_has_left = True
         request.stop_unwritten()
         if not request.in_flight():
-            self._requests.withdraw(ticket, Failed(_CLIENT_LEFT))
+            self._requests.withdraw(ticket, Failed(CLIENT_LEFT))
 
     # Called on behalf of operators
 
--- a/garnetlanding/core/request.py
+++ b/garnetlanding/core/request.py
@@ -17,6 +17,9 @@
 )
 from garnetlanding.decision.interface import Outcome
 
+CLIENT_LEFT = "client left"
+"""The reason of the failure of a request whose client has disconnected."""
+
 
 class AttemptOwner(Protocol):
     """The part of the engine to which attempts report; implemented by `AttemptDispatcher`."""
--- a/garnetlanding/runtime/memory.py
+++ b/garnetlanding/runtime/memory.py
@@ -27,7 +27,7 @@
     def charge(self, count: int) -> bool:
         """Charge `count` bytes; return False, without charging them, if they must not be held."""
         budget = self._budget
-        if budget.used_bytes + count > budget.available_bytes and not budget.make_room(self, count):
+        if budget.used_bytes + count > budget.available_bytes and not budget.evict_larger(self, count):
             return False
         self.held_bytes += count
         budget.used_bytes += count
@@ -94,7 +94,7 @@
         """Whether more than half of the bytes available to this process are in use."""
         return 2 * self.used_bytes > self.available_bytes
 
-    def make_room(self, account: MemoryAccount, count: int) -> bool:
+    def evict_larger(self, account: MemoryAccount, count: int) -> bool:
         """Evict the largest accounts until `count` more bytes fit; return whether they do.
 
         Only accounts larger than the one to be charged are evicted.
