--- a/review/6/case.py
+++ b/review/6/case.py
@@ -76,13 +76,14 @@
             record(f"client sends BLK.READ {piece.decode()} {request.decode()} to shard {shard}")
             writer.write(resp.command(b"BLK.READ", piece, request, fields))
             answer = await resp.read(reader)
+            record(f"{request.decode()} is answered {answer!r}")
             if isinstance(answer, resp.Error):
                 answers["refused or failed"] += 1
             elif answer == b"value of " + piece:
                 answers["right"] += 1
             else:
                 answers["wrong"] += 1
-                record(f"WRONG: {request.decode()} for {piece.decode()} is answered {answer!r}")
+                record(f"WRONG: {request.decode()} asked for {piece.decode()}")
             await asyncio.sleep(RNG.uniform(*PAUSE_S))
         writer.close()
 
--- a/review/standins_2/discovery.py
+++ b/review/standins_2/discovery.py
@@ -24,8 +24,8 @@
 
     async def start(self) -> None:
         """Listen at a free port."""
-        server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
+        self.server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
     def listing(self, bricks: Iterable[Brick], *, whole: bool) -> bytes:
