--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,78 +1,69 @@
-"""Case 10: a brick breaks off in a long value, and other requests follow on the client's connection."""
+"""Case 10: a head is told to end while a client's writes to one file wait for each other."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
-from review.standins_2 import resp
+from review.standins_2 import ninep
 from review.standins_2.bricks import Brick
 from review.standins_2.discovery import Discovery
-from review.standins_2.platform import Platform, config, free_address, main, settings, wait_for_pong
+from review.standins_2.platform import (
+    Platform,
+    config,
+    file_export,
+    free_address,
+    main,
+    settings,
+    wait_for_pong,
+)
 from review.standins_2.record import BROKEN, HELD, TROUBLE, Record
 
-LONG = b"00000000000000f0"  # a piece with a long value
-LONG_BYTES = 1 << 20
-SENT_BYTES = 300_000  # of it, before the brick dies
-SHORT = [b"%016x" % number for number in range(1, 5)]
-WORK_S = 0.03
-DEADLINE_S = 1.2
+WRITES = 60
+WORK_S = 0.05  # of a write at the file server: 60 take 3 s
+DEADLINE_S = 4.0  # `change_deadline_ms`
 GRACE_S = 0.55  # an answer up to half a second late is not lost; limits on sockets are 50 ms longer
-
-
-async def serve(brick: Brick, words: list[bytes], writer: asyncio.StreamWriter) -> None:
-    """Serve a read; the brick of the long piece dies in the middle of its answer."""
-    await asyncio.sleep(WORK_S)
-    brick.run(words)
-    if words[1] != LONG:
-        writer.write(resp.served(brick.value_of(words)))
-        return
-    answer = resp.served(b"v" * LONG_BYTES)
-    if not TROUBLE:
-        writer.write(answer)
-        return
-    writer.write(answer[:SENT_BYTES])
-    await writer.drain()
-    await asyncio.sleep(0.05)
-    brick.record(f"{brick.name} dies")
-    writer.transport.abort()
-    raise ConnectionResetError
+SENT_AFTER_S = 1.2  # after SIGTERM; the connection stays open, as one write is out from before
+KILL_AFTER_S = 3.7  # SIGKILL comes so long after SIGTERM at the earliest
+FID = 5
 
 
 async def case(platform: Platform, record: Record) -> int:
-    """Send a read of a long value and four of short ones, from other bricks, on one connection."""
-    bricks = [Brick(f"s-{shard}", shard, record, serve) for shard in range(3)]
-    for brick in bricks:
-        await brick.start()
-    discovery = Discovery(bricks)
+    """Send SIGTERM, then writes on the connection that stays open, and wait for their answers."""
+    files = ninep.FileServer(record, {"memory": bytes(4096)}, WORK_S)
+    await files.start()
+    brick = Brick("s-0", 0, record)
+    brick.address = files.address
+    discovery = Discovery([brick])
     await discovery.start()
-    address = free_address()
-    await platform.start_head(
-        "head", platform.write_config("head.json", config(address, discovery.address, settings(3)))
+    address, files_address = free_address(), free_address()
+    head = await platform.start_head(
+        "head",
+        platform.write_config("head.json", config(address, discovery.address, settings(1))),
+        platform.write("head.toml", file_export(files_address, "bulk-export", int(DEADLINE_S * 1000))),
     )
     await wait_for_pong(address)
-    host, port = address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port), limit=4 << 20)
-    pieces = [LONG, *SHORT]
-    for number, piece in enumerate(pieces):
-        shard = 0 if piece == LONG else 1 + number % 2
-        fields = b"c=segment-read,t=standard,d=1200,volume=00000000000000a%d,units=1,shard=%d,hosts=1"
-        record(f"client sends BLK.READ {piece.decode()} to shard {shard}")
-        writer.write(resp.command(b"BLK.READ", piece, b"%016x" % number, fields % (number, shard)))
-    answered = 0
-    try:
-        async with asyncio.timeout(DEADLINE_S + GRACE_S):
-            for piece in pieces:
-                answer = await resp.read(reader)
-                record(f"{piece.decode()} is answered {answer[:40]!r}, {len(answer)} bytes")
-                answered += 1
-    except (TimeoutError, asyncio.IncompleteReadError, ConnectionError) as end:
-        record(f"no whole answer to {pieces[answered].decode()}: {end!r:.90}")
-    # The value that was cut short has failed, and is excused.
-    excused = 1 if answered == 0 and TROUBLE else 0
-    lost = len(pieces) - answered - excused
-    record.say(f"{answered} of {len(pieces)} requests answered, {lost} behind the long value lost")
+    client = ninep.Client(record, "client")
+    await client.connect(files_address)
+    await client.open(FID, "memory", 2)
+    if TROUBLE:
+        head.send_signal(signal.SIGTERM)
+        record("SIGTERM")
+    terminated_at = record.now
+    await asyncio.sleep(SENT_AFTER_S)
+    sent: dict[int, float] = {}
+    for tag in range(100, 100 + WRITES):
+        sent[tag] = record.now
+        client.write(tag, FID, 8 * (tag - 100), b"%08d" % tag)
+    await asyncio.sleep(DEADLINE_S + GRACE_S + 0.2)
+    lost = [tag for tag, at in sent.items() if client.answered_at.get(tag, 1e9) > at + DEADLINE_S + GRACE_S]
+    ended = client.ended_at
+    when = "stayed open" if ended is None else f"was ended {ended - terminated_at:.2f} s after SIGTERM"
+    record.say(f"{len(lost)} of {WRITES} writes without an answer; the connection {when}")
+    if ended is not None and ended - terminated_at > KILL_AFTER_S:
+        record.say("it was ended after the earliest SIGKILL")
     return BROKEN if lost else HELD
 
 
