Waits: check and registration of a task that waits for a slow client are one step

Cause: the task that reads a value from its backend checked whether the client was blocked and parked; the callback that would wake it was registered by another check, at the write before. In between the task yields. A client is blocked by one unsent byte while memory is scarce, so that what others held during the yield left the task parked without a callback.

Change: `blocked_until(callback)` replaces the pair of `write_blocked` and `when_writable`, at the client connection and at a streamed body; it returns true only if it has registered the callback. `Scheduler.park_while` waits by such a call, and `park` is private to the scheduler, so that no task can wait otherwise than for a descriptor, a time or a registered callback. The scheduler's deadline test waits for a descriptor in place of `park`, with the same checks.

The other waits were read and needed no change.

--- a/garnetlanding/core/body.py
+++ b/garnetlanding/core/body.py
@@ -19,12 +19,12 @@
     def __call__(self, data: bytes) -> None:
         """Write bytes to the client, in order."""
 
-    @property
-    def write_blocked(self) -> bool:
-        """Whether so much is unsent, because the client does not read it, that writing must pause."""
+    def blocked_until(self, callback: WritableCallback) -> bool:
+        """Return whether so much is unsent, because the client does not read it, that writing must pause.
 
-    def when_writable(self, callback: WritableCallback) -> None:
-        """Call the callback once, once the kernel has accepted everything that was written."""
+        If so, the callback is called once, when the kernel has accepted everything that was written. A check
+        without this registration could change its answer before a registration of its own.
+        """
 
     def abort(self) -> None:
         """Abort the connection, so that the client can tell that the response is incomplete."""
@@ -33,13 +33,12 @@
 class _ClosedSink:
     """The sink of a connection that has ended: it discards what is written."""
 
-    write_blocked = False
-
     def __call__(self, data: bytes) -> None:
         pass
 
-    def when_writable(self, callback: WritableCallback) -> None:
-        """Never call back: nothing is blocked."""
+    def blocked_until(self, callback: WritableCallback) -> bool:  # noqa: ARG002 - part of `Sink`
+        """Return False: nothing is ever unsent."""
+        return False
 
     def abort(self) -> None:
         """Do nothing: the connection has ended."""
@@ -49,10 +48,6 @@
 """What a protocol writes to after the end of its connection, which it must not keep in memory."""
 
 
-def _ignore_writable() -> None:
-    """Do nothing: the default until a producer registers its callback."""
-
-
 class Body:
     """A value of `length` bytes that is streamed from a producer, the backend's side, to the client's sink.
 
@@ -64,26 +59,40 @@
     - ended, from `end` on, by either side: complete or truncated; further calls have no effect. It refers to
       neither side any more, except that bytes of a complete body are kept until a sink is attached.
 
-    Invariants: each `on_end` callback is called exactly once; the producer checks `is_blocked` after each
-    piece and stops reading while it is set, so that no more is buffered than the producer reads at once;
-    `on_writable` is called whenever the producer may continue, and at the end. What is buffered is charged to
-    `account`, that of the client for which it waits; a body that the client must not hold ends as truncated.
+    Invariants: each `on_end` callback is called exactly once; the producer calls `blocked_until` after each
+    piece and stops reading while it is blocked, so that no more is buffered than the producer reads at once.
+    What is buffered is charged to `account`, that of the client for which it waits; a body that the client
+    must not hold ends as truncated.
     """
 
     def __init__(self, length: int) -> None:
         self.length = length
         self.ended = False
         self.on_end: list[EndCallback] = []
-        self.on_writable: WritableCallback = _ignore_writable
         self.account: MemoryHolder | None = None
         self._buffered: list[bytes] = []
         self._charged_bytes = 0  # of the buffered bytes
         self._sink: Sink | None = None
+        self._on_writable: WritableCallback | None = None
 
-    @property
-    def is_blocked(self) -> bool:
-        """Whether the producer has to stop reading for now."""
-        return not self.ended and (self._sink is None or self._sink.write_blocked)
+    def blocked_until(self, callback: WritableCallback) -> bool:
+        """Return whether the producer has to stop reading for now.
+
+        If so, the callback is called once the producer may go on, or at the end. It may be called early: the
+        producer asks again then. A later call replaces the callback.
+        """
+        if self.ended:
+            return False
+        if self._sink is not None and not self._sink.blocked_until(callback):
+            return False
+        self._on_writable = callback
+        return True
+
+    def _notify_producer(self) -> None:
+        callback = self._on_writable
+        self._on_writable = None
+        if callback:
+            callback()
 
     def feed(self, data: bytes) -> None:
         """Write the next bytes from the producer to the sink, or buffer them until a sink is attached."""
@@ -93,8 +102,6 @@
             self._buffer(data)
             return
         self._sink(data)
-        if self._sink.write_blocked:
-            self._sink.when_writable(self.on_writable)
 
     def _buffer(self, data: bytes) -> None:
         if self.account:
@@ -118,10 +125,7 @@
             self._sink = sink
         if buffered := self._take_buffered():
             sink(b"".join(buffered))
-        if sink.write_blocked:
-            sink.when_writable(self.on_writable)
-        else:
-            self.on_writable()
+        self._notify_producer()
 
     def end(self, *, complete: bool) -> None:
         """End the body, from either side, and notify both; only the first call has an effect."""
@@ -134,5 +138,4 @@
         callbacks, self.on_end = self.on_end, []
         for callback in callbacks:
             callback(complete)
-        on_writable, self.on_writable = self.on_writable, _ignore_writable
-        on_writable()
+        self._notify_producer()
--- a/garnetlanding/runtime/backend_connection.py
+++ b/garnetlanding/runtime/backend_connection.py
@@ -132,12 +132,10 @@
         if read_bytes >= self._upstream.limits.stream_window_bytes:
             self._body_reads = 0
             scheduler.sleep(0)
-        while body.is_blocked and not self.closed:
-            scheduler.park()
+        scheduler.park_while(lambda wake: not self.closed and body.blocked_until(wake))
 
     def _attach(self, body: Body) -> None:
         self._streamed_body = body
-        body.on_writable = lambda: self._upstream.scheduler.wake(self._task)
         body.on_end.append(self._on_body_end)
 
     def _on_body_end(self, complete: bool) -> None:  # noqa: FBT001 - called by position, as an `EndCallback`
--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -91,16 +91,17 @@
             # Deferred, because more input or output may follow in this iteration.
             self._scheduler.call_at(self._scheduler.now, self.close_if_idle)
 
-    @property
-    def write_blocked(self) -> bool:
-        """Whether too many bytes are unsent; while buffers are scarce, any unsent byte is too many."""
+    def blocked_until(self, callback: Callable[[], None]) -> bool:
+        """Return whether too many bytes are unsent; while memory is scarce, any unsent byte is too many.
+
+        If so, call back once, when the kernel has accepted everything written so far.
+        """
         listener = self._listener
         max_unsent_bytes = 0 if listener.pool.budget.is_scarce else listener.limits.stream_window_bytes
-        return not self.stream.closed and self.stream.unsent_bytes > max_unsent_bytes
-
-    def when_writable(self, call: Callable[[], None]) -> None:
-        """Call back once, when the kernel has accepted everything written so far."""
-        self.stream.on_flushed = call
+        if self.stream.closed or self.stream.unsent_bytes <= max_unsent_bytes:
+            return False
+        self.stream.on_flushed = callback
+        return True
 
     def abort(self) -> None:
         """Close immediately, so that the client can tell that a response is incomplete."""
--- a/garnetlanding/runtime/scheduler.py
+++ b/garnetlanding/runtime/scheduler.py
@@ -59,7 +59,7 @@
 class Task:
     """A greenlet and its state, used only by the scheduler.
 
-    `error` is raised by the task's current or next `park`; `is_queued` is whether the task is in the ready
+    `error` is raised by the task's current or next wait; `is_queued` is whether the task is in the ready
     queue; `done` is whether its body has ended.
     """
 
@@ -77,7 +77,7 @@
 
     It is one class because tasks, timers and descriptors wake one another within an iteration and its methods
     are the hot path. `now` is the time of the current iteration in microseconds. Only tasks may call the
-    methods that wait (`park`, `wait`, `sleep`); all code on the loop's thread may call the others.
+    methods that wait (`wait`, `park_while`, `sleep`); all code on the loop's thread may call the others.
     """
 
     def __init__(self, clock: Clock = monotonic_us) -> None:
@@ -118,7 +118,7 @@
         return task
 
     def wake(self, task: Task, error: BaseException | None = None) -> None:
-        """Make a parked task ready to run; if `error` is given, its `park` raises it."""
+        """Make a parked task ready to run; if `error` is given, its wait raises it."""
         if task.done:
             return
         task.error = task.error or error
@@ -131,8 +131,8 @@
         assert self._current is not None, "called outside a task"
         return self._current
 
-    def park(self, deadline: int | None = None) -> None:
-        """Suspend the running task until it is woken.
+    def _park(self, deadline: int | None = None) -> None:
+        """Suspend the running task until it is woken, for which the caller has registered in the same step.
 
         Raises `DeadlineExceededError` at the deadline, or the error that was passed to `wake`.
         """
@@ -153,18 +153,30 @@
             finally:
                 del error  # its traceback refers to this frame: a cycle that would hold the task's objects
 
+    def park_while(self, blocked_until: Callable[[Callable[[], None]], bool]) -> None:
+        """Suspend the running task while `blocked_until` returns true.
+
+        `blocked_until` is called with a callback that wakes the task. If it returns true, it has registered
+        the callback in the same step, so that no change between the check and the registration is missed. It
+        is called again after each wake, which may come early. Raises the error that was passed to `wake`.
+        """
+        task = self.current()
+        while blocked_until(lambda: self.wake(task)):
+            self._park()
+
     def wait(self, fd: int, direction: int, deadline: int | None = None) -> None:
         """Suspend the running task until the descriptor is ready for `READ`, `WRITE` or `HANGUP`.
 
         Also returns when the descriptor has failed, in which case the next system call on it reports the
-        error. At most one task may wait for each direction of a descriptor. Raises what `park` raises.
+        error. At most one task may wait for each direction of a descriptor. Raises `DeadlineExceededError`
+        at the deadline, or the error that was passed to `wake`.
         """
         waits = self._waits.setdefault(fd, {})
         assert direction not in waits, "one waiting task per direction"
         waits[direction] = self.current()
         self._register(fd)
         try:
-            self.park(deadline)
+            self._park(deadline)
         finally:
             waits.pop(direction, None)
             self._register(fd)
@@ -219,7 +231,7 @@
     def sleep(self, duration_us: int) -> None:
         """Suspend the running task for `duration_us` or until woken; 0 yields to other ready tasks once."""
         with contextlib.suppress(DeadlineExceededError):
-            self.park(self.now + duration_us)
+            self._park(self.now + duration_us)
 
     # The event loop
 
--- a/tests/core/test_body.py
+++ b/tests/core/test_body.py
@@ -9,16 +9,14 @@
 class RecordingSink:
     """A sink whose client reads everything at once."""
 
-    write_blocked = False
-
     def __init__(self) -> None:
         self.received = b""
 
     def __call__(self, data: bytes) -> None:
         self.received += data
 
-    def when_writable(self, _callback: WritableCallback) -> None:
-        raise AssertionError("it is always writable")
+    def blocked_until(self, _callback: WritableCallback) -> bool:
+        return False
 
     def abort(self) -> None:
         raise AssertionError("nothing aborts it")
--- a/tests/core/test_streamed_bodies.py
+++ b/tests/core/test_streamed_bodies.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,6 +20,7 @@
 from tests.support.clock import MS, SECOND
 from tests.support.loopback import fix_kernel_buffers
 from tests.support.simulated_instance import LoopbackClient, SimulatedInstance, read_command
+from tests.support.waiting import wait_until
 
 MIB = 1 << 20
 KIB = 1 << 10
@@ -174,6 +178,44 @@
     assert len(instance.listener) == len(others), "the stalled client is closed after the stall limit"
 
 
+def test_a_value_goes_on_if_memory_becomes_scarce_while_its_task_yields(
+    instance: StreamingInstance,
+) -> None:
+    """Regression: a value whose client was blocked by what others did during a yield stopped for ever: the
+    task that read it waited for a callback that only a check before the yield would have registered."""
+    value = b"v" * (2 * MIB)
+    instance.backend.data[b"k"] = value
+    budget = instance.pool.budget
+    scarce_bytes = budget.available_bytes // 2 + 1
+
+    def alternate() -> None:
+        """Make memory scarce in every second iteration, as other clients' requests do."""
+        if budget.process_account.held_bytes:
+            budget.process_account.release(scarce_bytes)
+        else:
+            assert budget.process_account.charge(scarce_bytes)
+
+    instance.scheduler.iteration_hooks.append(alternate)
+    host, port = instance.listener.address.split(":")
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES // 8)
+        client.connect((host, int(port)))
+        client.setblocking(False)
+        instance.run_until(lambda: bool(instance.listener.connections), "the connection")
+        [accepted] = instance.listener.connections
+        fix_kernel_buffers(accepted.stream._sock, KERNEL_BUFFER_BYTES // 4)
+        client.sendall(read_command(d=1400))
+        received = 0
+
+        def read_slowly() -> None:
+            nonlocal received
+            instance.run_iteration(1.0)
+            with contextlib.suppress(BlockingIOError):
+                received += len(client.recv(2 * KIB))
+
+        wait_until(lambda: received == len(codec.encode_bulk(value)), "the whole value", read_slowly)
+
+
 def test_a_client_that_disconnects_ends_the_backends_stream(instance: StreamingInstance) -> None:
     client = instance.client_with_response_in_progress(b"v" * MIB, 30_000)
     client.close()
@@ -217,9 +259,11 @@
     body = Body(4)
     body.on_end.append(ends.append)
     body.feed(b"ab")
-    assert body.is_blocked, "it has no sink yet"
+    woken: list[str] = []
+    assert body.blocked_until(lambda: woken.append("producer")), "it has no sink yet"
     body.end(complete=False)
     body.end(complete=True)
     body.feed(b"cd")
     assert ends == [False]
-    assert not body.is_blocked
+    assert woken == ["producer"]
+    assert not body.blocked_until(lambda: woken.append("again"))
--- a/tests/golden/test_golden_protocols.py
+++ b/tests/golden/test_golden_protocols.py
@@ -115,8 +115,6 @@
 class Sink:
     """A client connection that records what is written to it."""
 
-    write_blocked = False
-
     def __init__(self) -> None:
         self.written: list[bytes] = []
         self.aborted = False
@@ -124,8 +122,8 @@
     def __call__(self, data: bytes) -> None:
         self.written.append(bytes(data))
 
-    def when_writable(self, _call: Callable[[], None]) -> None:
-        raise AssertionError("this sink is always writable")
+    def blocked_until(self, _call: Callable[[], None]) -> bool:
+        return False
 
     def abort(self) -> None:
         self.aborted = True
--- a/tests/runtime/test_scheduler.py
+++ b/tests/runtime/test_scheduler.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import os
+from collections.abc import Callable
+
 import pytest
 
 from garnetlanding.runtime.errors import DeadlineExceededError
-from garnetlanding.runtime.scheduler import Scheduler
+from garnetlanding.runtime.scheduler import READ, Scheduler
 from garnetlanding.runtime.stream import parse_address
 
 
@@ -28,10 +31,11 @@
     clock, seen = [0], []
     scheduler = Scheduler(lambda: clock[0])
     scheduler.call_at(5, lambda: seen.append("cancelled")).cancel()
+    reader, writer = os.pipe()
 
     def body() -> None:
         try:
-            scheduler.park(10)
+            scheduler.wait(reader, READ, 10)
         except DeadlineExceededError:
             seen.append(f"expired at {scheduler.now}")
 
@@ -39,6 +43,38 @@
     for clock[0] in (0, 9, 10, 10):
         scheduler.run_iteration(0)
     assert seen == ["expired at 10"]
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_condition_that_holds_has_registered_its_wake_in_the_same_step() -> None:
+    """Regression: a change between a check and its registration was missed, and the task slept on."""
+    scheduler = Scheduler(lambda: 0)
+    state = {"blocked": True}
+    waiting: list[Callable[[], None]] = []
+    seen: list[str] = []
+
+    def blocked_until(wake: Callable[[], None]) -> bool:
+        if state["blocked"]:
+            waiting.append(wake)
+        return state["blocked"]
+
+    def body() -> None:
+        scheduler.sleep(0)  # the state may change meanwhile
+        scheduler.park_while(blocked_until)
+        seen.append("went on")
+
+    scheduler.spawn(body)
+    for _ in range(3):
+        scheduler.run_iteration(0)
+    [wake] = waiting
+    wake()
+    scheduler.run_iteration(0)
+    assert len(waiting) == 2, "an early wake leads to another check, which registers again"
+    state["blocked"] = False
+    waiting[1]()
+    scheduler.run_iteration(0)
+    assert seen == ["went on"]
 
 
 def test_cancelled_timers_do_not_accumulate_and_the_others_fire_in_order() -> None:
