Client connections: evict only while they are scarce, and never one that goes on writing

Cause: every 0.1 s the listener evicted idle connections above a sixth of the descriptors, whatever was free; and a connection with half a command could be evicted 0.1 s after the command's first byte, before idle ones that had sent a request.

Change: connections count as scarce while less than a sixth of the limit is free, after what backends have borrowed. Only then are idle ones evicted: first those without a request, then those idle for 2 s, last those whose client has sent nothing for 0.5 s within a command. A client that goes on writing stays until the command's deadline.

--- a/garnetlanding/daemon/admin.py
+++ b/garnetlanding/daemon/admin.py
@@ -134,7 +134,7 @@
             limits,
             new_client_timeout_us=limits.ops_new_client_timeout_us,
             idle_client_timeout_us=limits.ops_new_client_timeout_us,
-            idle_clients=limits.ops_connections,
+            stalled_client_timeout_us=limits.ops_new_client_timeout_us,
             lingering_connections=limits.ops_lingering_connections,
         )
         return Listener(
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -30,7 +30,6 @@
     client_connections: int = 822
     backend_connections: int = 341
     reserved_backend_connections: int = 170
-    idle_clients: int = 170  # idle client connections beyond this number are closed
     connections_per_backend: int = 48
     backlog: int = 512
     accepts_per_iteration: int = 32  # connections accepted in one iteration of the event loop
@@ -120,10 +119,11 @@
     )
     # To receive a complete command, from connecting or from the command's first byte; clients get 3 s.
     command_timeout_us: int = 2500 * MS
-    new_client_timeout_us: int = (
-        100 * MS
-    )  # at the connection limit: before the first command, and for a partial one
-    idle_client_timeout_us: int = 2 * SECOND  # at the connection limit: after the first command
+    # While connections are scarce, one is closed that has been idle for this long before its first command,
+    # after a command, or within one; the last is longer than the pauses of a client that writes slowly.
+    new_client_timeout_us: int = 100 * MS
+    idle_client_timeout_us: int = 2 * SECOND
+    stalled_client_timeout_us: int = 500 * MS
     write_stall_us: int = 5 * SECOND  # a connection whose peer reads nothing for this long is closed
     partial_reply_us: int = 100 * MS  # for the rest of a backend's reply after its first byte
 
@@ -207,7 +207,6 @@
             backend_connections=sockets // 3,
             reserved_backend_connections=reserved,
             client_connections=sockets - reserved - reserved_sockets,
-            idle_clients=reserved,
             pool_max=buffers,
             pool_free_max=min(self.pool_free_max, buffers // 4),
             unsent_bytes=min(self.unsent_bytes, free_bytes // 8),
--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -52,6 +52,7 @@
         self.closing = ConnectionClose()
         self._wake_on_write = False  # set while the task waits without reading
         self.accepted_at = self.last_used_at = self._scheduler.now
+        self._last_input_at = self.accepted_at
         self._message_began_at: int | None = self.accepted_at  # the first message counts from the accept on
         self._messages_received = 0  # `protocol.messages_received` when `_message_began_at` was last reset
         self._unyielded_bytes = 0  # read since the task last yielded
@@ -63,9 +64,18 @@
         protocol = self.protocol
         return not protocol.pending_responses and not protocol.has_partial_message and self.stream.flushed
 
+    @property
+    def has_partial_message(self) -> bool:
+        """Whether the client has sent a message only in part."""
+        return self.protocol.has_partial_message
+
     @property
     def evictable_from(self) -> int | None:
-        """Time from which the connection may be evicted; `None` if its current state forbids that."""
+        """Time from which the connection may be evicted; `None` if its current state forbids that.
+
+        A client that goes on writing a message makes progress, however slowly: only the deadline of the
+        message ends its connection.
+        """
         limits = self._listener.limits
         protocol = self.protocol
         if protocol.pending_responses or protocol.has_session_state or not self.stream.flushed:
@@ -73,7 +83,7 @@
         if protocol.has_buffered_input:
             return None
         if protocol.has_partial_message:
-            return (self._message_began_at or self.last_used_at) + limits.new_client_timeout_us
+            return self._last_input_at + limits.stalled_client_timeout_us
         # A client that has sent no request, at most a greeting, is unlikely to send one soon.
         return self.last_used_at + (
             limits.idle_client_timeout_us if protocol.requests_received else limits.new_client_timeout_us
@@ -199,6 +209,7 @@
 
     def _feed(self, data: memoryview) -> None:
         self._unyielded_bytes += len(data)
+        self._last_input_at = self._scheduler.now
         self.protocol.feed(data)
 
     def _yield_if_due(self) -> None:
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger(__name__)
 
+SPARE_DIVISOR = 6
+"""Connections count as scarce while less than this part of the limit, a sixth, is free."""
+
 
 class Listener:
     """A listening socket and the connections accepted on it.
@@ -132,9 +135,13 @@
     def _granted(self) -> int:
         return self.capacity_user.granted if self.capacity_user else 0
 
+    @property
+    def _limit(self) -> int:
+        return int(self._max_connections * self.capacity_quota)
+
     @property
     def _available(self) -> int:
-        return int(self._max_connections * self.capacity_quota) - self._granted - len(self._clients)
+        return self._limit - self._granted - len(self._clients)
 
     @property
     def utilization(self) -> float:
@@ -146,10 +153,12 @@
         return self._available > 0 or self._evict()
 
     def _sweep(self) -> None:
-        """Evict idle connections above a limit, so that clients with many leave some for others."""
+        """Evict idle connections while few are free, so that new clients need not wait for one."""
         if self._sock:
             self.scheduler.call_at(self.scheduler.now + self.limits.client_sweep_us, self._sweep)
-        self.evict_down_to(self.limits.idle_clients)
+        missing = self._limit // SPARE_DIVISOR - self._available
+        if missing > 0:
+            self._evict(missing)
 
     def evict_down_to(self, max_connections: int) -> None:
         """Evict evictable connections while more than `max_connections` are open."""
@@ -158,18 +167,20 @@
             self._evict(excess)
 
     def _evict(self, count: int = 1) -> bool:
-        """Close up to `count` connections between requests; return whether any was closed.
+        """Close up to `count` connections that make no progress; return whether any was closed.
 
-        Connections that have sent no request are closed before others, longer idle ones before newer ones.
+        Connections that have sent no request are closed before others, and longer idle ones before newer
+        ones. Those whose client has stopped within a message come last.
         """
         now = self.scheduler.now
-        candidates: list[tuple[bool, int, ClientConnection]] = []
+        candidates: list[tuple[bool, bool, int, ClientConnection]] = []
         for client in self._clients:
             evictable_from = client.evictable_from
             if evictable_from is not None and evictable_from <= now:
-                candidates.append((client.protocol.requests_received > 0, evictable_from, client))
+                has_sent_request = client.protocol.requests_received > 0
+                candidates.append((client.has_partial_message, has_sent_request, evictable_from, client))
         evicted = 0
-        for _, _, client in sorted(candidates, key=lambda candidate: candidate[:2]):
+        for *_, client in sorted(candidates, key=lambda candidate: candidate[:3]):
             if evicted >= count:
                 break
             evicted += client.close_gracefully()
