RESP2: answer the requests behind a value that is cut short

Cause: replies come in order, and nothing but the end of the connection tells a client that a value is cut short. So from the first byte of a value on, what waits behind it depends on that value's backend, and the first byte was passed on at once. The reset also discarded what the client had not read of earlier answers.

Change: the value of a client that sends several requests at once is collected, charged to the client, until it is whole, for 1 s, up to 0.1 s before its deadline or until memory is scarce. Cut short before that, it becomes an error and the others are answered. Cut short later, it ends the connection after what was written, without a reset. A connection that only waits for answers, as after QUIT, gets errors when it is evicted.

--- a/garnetlanding/core/engine.py
+++ b/garnetlanding/core/engine.py
@@ -26,6 +26,7 @@
     MemoryHolder,
     Rejected,
     RequestSpec,
+    Timer,
     Timers,
 )
 from garnetlanding.core.request import CLIENT_LEFT, Request, discard_answer
@@ -69,6 +70,10 @@
         """The monotonic clock, in microseconds."""
         return self._timers.now
 
+    def call_at(self, due: int, callback: Callable[[], None]) -> Timer:
+        """Schedule a callback for the time `due` of the monotonic clock, in microseconds."""
+        return self._timers.call_at(due, callback)
+
     @property
     def settings(self) -> api.Settings:
         """The settings in force."""
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -52,6 +52,10 @@
     stream_stall_us: int = (
         2 * SECOND
     )  # a backend that sends nothing of a streamed value for this long has failed
+    # A value of a client that sends several requests at once is collected before it is streamed, this long
+    # at most, and up to this time before its deadline: if it is cut short, the others are still answered.
+    stream_collect_us: int = SECOND
+    stream_margin_us: int = 100 * MS
     array_elements: int = 16
     array_nesting: int = 4
     buffered_reply_bytes: int = 128 << 10  # of a backend's reply, without a value that is streamed
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -12,7 +12,7 @@
 
 from garnetlanding.core.body import CLOSED_SINK, Body, Sink
 from garnetlanding.core.engine import RequestEngine
-from garnetlanding.core.ports import Answer, BackendTransport, InvalidRequestError, Rejected, Served
+from garnetlanding.core.ports import Answer, BackendTransport, InvalidRequestError, Rejected, Served, Timer
 from garnetlanding.limits import MS, Limits
 from garnetlanding.resp import codec
 from garnetlanding.resp.errors import InvalidArgumentError, InvalidCommandError, Problem, ProtocolError
@@ -55,15 +55,25 @@
 
     `reply` is `None` until it is known. `held_bytes` have been charged to the client while it waits. While
     the command's request is in progress, `ticket` identifies it to the engine and `request_id` to the client.
+    `stream_by` is the time at which a streamed value is no longer collected, `collect_timer` the timer that
+    ends it, both set for a request only.
     """
 
-    __slots__ = ("held_bytes", "reply", "request_id", "ticket")
+    __slots__ = ("collect_timer", "held_bytes", "reply", "request_id", "stream_by", "ticket")
 
     def __init__(self) -> None:
         self.reply: bytes | Body | None = None
         self.held_bytes = 0
         self.ticket: str | None = None
         self.request_id = b""
+        self.stream_by = 0
+        self.collect_timer: Timer | None = None
+
+    def stop_collect_timer(self) -> None:
+        """Cancel the timer, if it is set."""
+        if self.collect_timer:
+            self.collect_timer.cancel()
+            self.collect_timer = None
 
 
 def encode_answer(answer: Answer) -> bytes | Body:
@@ -109,6 +119,7 @@
         self._engine = context.engine
         self._backend = context.backend
         self._limits = context.limits
+        self._pool = context.pool
         self._accepts_clients = context.accepts_clients
         self._open_ids = context.open_ids
         self._write = write
@@ -117,6 +128,8 @@
         """Replies that are not completely written, in command order."""
         self._is_streaming = False
         """Whether the first pending reply is a value that is being streamed."""
+        self._is_pipelining = False
+        """Whether the client has ever sent a command before the reply to the one before it."""
         self.is_closing = False
         self.has_buffered_input = False
         self.messages_received = 0
@@ -195,6 +208,7 @@
     def _abandon(self, pending: PendingReply) -> None:
         reply = pending.reply
         pending.reply = None
+        pending.stop_collect_timer()
         if isinstance(reply, Body):
             reply.end(complete=False)
         self._release_held(pending)
@@ -231,6 +245,7 @@
             request = parse_request(arguments, self._limits)
             request_id = self._require_unused_id(arguments[2])
             self.requests_received += 1
+            pending.stream_by = self._engine.now + request.timeout_us - self._limits.stream_margin_us
             ticket = self._engine.submit(
                 request,
                 self._backend,
@@ -277,6 +292,8 @@
     def _add_pending(self) -> PendingReply:
         pending = PendingReply()
         self._pending.append(pending)
+        if len(self._pending) > 1:
+            self._is_pipelining = True
         return pending
 
     def _set_reply(self, pending: PendingReply, reply: bytes | Body) -> None:
@@ -319,6 +336,9 @@
             if reply is None:
                 break
             if isinstance(reply, Body):
+                if self._must_collect(pending, reply):
+                    break
+                pending.stop_collect_timer()
                 self._begin_streaming(reply, ready)
                 if self._is_streaming:
                     return
@@ -336,6 +356,23 @@
         if ready:
             self._write(b"".join(ready))
 
+    def _must_collect(self, pending: PendingReply, body: Body) -> bool:
+        """Return whether a streamed value has to be collected further before its first byte is written.
+
+        From then on, if it is cut short, only the end of the connection tells the client, which loses the
+        replies to all requests behind it. So the value of a client that sends several commands at once is
+        collected until it is whole, its time is over, or memory becomes scarce.
+        """
+        now = self._engine.now
+        may_collect = not self._pool.budget.is_scarce
+        if not self._is_pipelining or body.is_whole or now >= pending.stream_by or not may_collect:
+            return False
+        if pending.collect_timer is None:
+            pending.stream_by = min(pending.stream_by, now + self._limits.stream_collect_us)
+            pending.collect_timer = self._engine.call_at(pending.stream_by, self._write_ready)
+            body.collect(self._write_ready, lambda: not self._pool.budget.is_scarce)
+        return True
+
     def _begin_streaming(self, body: Body, preceding: list[bytes]) -> None:
         """Write the preceding replies and the header of a streamed value; its bytes follow as they arrive."""
         self._write(b"".join([*preceding, b"$%d\r\n" % body.length]))
@@ -343,21 +380,31 @@
         self._is_streaming = not body.ended
 
     def _on_body_end(self, pending: PendingReply, *, complete: bool) -> None:
-        """Continue after a streamed value, or abort the connection if the value is incomplete.
+        """Continue after a streamed value, or end the connection if the value is incomplete.
 
-        The abort is all that tells the client of the truncation. If no byte of the value has been sent yet,
-        an error reply takes its place.
+        The end is all that tells the client of the truncation; replies before the value are still sent. If no
+        byte of the value has been sent yet, an error reply takes its place.
         """
         if pending not in self._pending:
             return  # the connection has ended
         is_streamed = self._is_streaming and self._pending[0] is pending
         if not is_streamed:
             if not complete:
+                pending.stop_collect_timer()
                 pending.reply = codec.encode_error("ERR cut short")
+                self._write_ready()
         elif complete:
             self._is_streaming = False
             self._pending.popleft()
             self._write(codec.CRLF)
             self._write_ready()
-        else:
+        elif self.is_closing:
             self._write.abort()
+        else:
+            self._end_after_flush()
+
+    def _end_after_flush(self) -> None:
+        """End the connection after what has been written; no reply that is still pending can be sent."""
+        write = self._write
+        self.close()
+        write.end_after_flush()
--- a/garnetlanding/runtime/backend_connection.py
+++ b/garnetlanding/runtime/backend_connection.py
@@ -136,12 +136,14 @@
 
     def _attach(self, body: Body) -> None:
         self._streamed_body = body
-        body.on_end.append(self._on_body_end)
+        body.on_end.append(lambda complete: self._on_body_end(body, complete=complete))
 
-    def _on_body_end(self, complete: bool) -> None:  # noqa: FBT001 - called by position, as an `EndCallback`
-        self._streamed_body = None
-        if not complete:
-            self.close()
+    def _on_body_end(self, body: Body, *, complete: bool) -> None:
+        """Close the connection if the client abandons a body that is still arriving."""
+        if self._streamed_body is body:
+            self._streamed_body = None
+            if not complete:
+                self.close()
 
     # Attempts
 
@@ -172,6 +174,7 @@
 
     def _on_protocol_idle(self) -> None:
         self.idle_since = self._upstream.scheduler.now
+        self._streamed_body = None  # the client may still be reading it
         self._upstream.on_idle(self)
         self.attempt = None
 
--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -9,7 +10,12 @@
 from garnetlanding.limits import Limits
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.connection_close import CloseEvent, CloseState, ConnectionClose
-from garnetlanding.runtime.errors import CloseRequestedError, DeadlineExceededError, StreamClosedError
+from garnetlanding.runtime.errors import (
+    CloseRequestedError,
+    DeadlineExceededError,
+    InputEndedError,
+    StreamClosedError,
+)
 from garnetlanding.runtime.protocols import ClientProtocol
 from garnetlanding.runtime.scheduler import Scheduler
 from garnetlanding.runtime.stream import Stream
@@ -113,8 +119,18 @@
         self.stream.on_flushed = callback
         return True
 
+    def end_after_flush(self) -> None:
+        """Read no more, and close once everything written so far has been sent.
+
+        So the client gets all earlier responses, and can tell that the last one is incomplete.
+        """
+        if self.closing.accepts_input:
+            self._close_on(CloseEvent.INPUT_ENDED)
+            if not self._scheduler.is_running(self._task):
+                self._scheduler.wake(self._task, InputEndedError())
+
     def abort(self) -> None:
-        """Close immediately, so that the client can tell that a response is incomplete."""
+        """Close immediately and discard what is not sent."""
         self.closing.apply(CloseEvent.ABORTED)
         self.stream.close()
 
@@ -124,14 +140,16 @@
         If the client has read everything so far, its open requests are answered with an error. The rest of
         its input is not processed.
         """
-        if self.closing.accepts_input and self.stream.flushed:
+        if not self.closing.output_ended and self.stream.flushed:
             self.protocol.fail_pending("out of memory")
-        if self.closing.accepts_input and self.stream.flushed:
+        if self.closing.output_ended or not self.stream.flushed:
+            self.abort()
+            self.protocol.close()
+        elif self.closing.accepts_input:
             self._close_on(CloseEvent.CLOSE_REQUESTED)
             self._scheduler.wake(self._task, CloseRequestedError())
         else:
-            self.abort()
-            self.protocol.close()
+            self._close_on(CloseEvent.RESPONSES_SENT)
 
     # Closing between requests
 
@@ -172,7 +190,8 @@
     def _run(self) -> None:
         try:
             try:
-                self._serve()
+                with contextlib.suppress(InputEndedError):
+                    self._serve()
                 self._finish()
             except CloseRequestedError:
                 pass
--- a/garnetlanding/runtime/errors.py
+++ b/garnetlanding/runtime/errors.py
@@ -26,6 +26,10 @@
     """Raised in a client connection's task to end serving and begin the lingering close."""
 
 
+class InputEndedError(RuntimeLayerError):
+    """Raised in a client connection's task to end reading; what has been written is still sent."""
+
+
 class BackendProtocolError(RuntimeLayerError):
     """A backend violated its protocol, or the rest of an attempt must not be sent to it.
 
--- a/garnetlanding/runtime/scheduler.py
+++ b/garnetlanding/runtime/scheduler.py
@@ -131,6 +131,10 @@
         assert self._current is not None, "called outside a task"
         return self._current
 
+    def is_running(self, task: Task) -> bool:
+        """Return whether this is the task that runs now."""
+        return task is self._current
+
     def _park(self, deadline: int | None = None) -> None:
         """Suspend the running task until it is woken, for which the caller has registered in the same step.
 
--- a/tests/core/test_body.py
+++ b/tests/core/test_body.py
@@ -18,6 +18,9 @@
     def blocked_until(self, _callback: WritableCallback) -> bool:
         return False
 
+    def end_after_flush(self) -> None:
+        raise AssertionError("nothing ends it")
+
     def abort(self) -> None:
         raise AssertionError("nothing aborts it")
 
--- a/tests/golden/test_golden_protocols.py
+++ b/tests/golden/test_golden_protocols.py
@@ -125,6 +125,9 @@
     def blocked_until(self, _call: Callable[[], None]) -> bool:
         return False
 
+    def end_after_flush(self) -> None:
+        self.aborted = True
+
     def abort(self) -> None:
         self.aborted = True
 
--- a/tests/support/simulated_instance.py
+++ b/tests/support/simulated_instance.py
@@ -16,6 +16,7 @@
     Failed,
     MemoryHolder,
     RequestSpec,
+    Timer,
 )
 from garnetlanding.core.request import Attempt
 from garnetlanding.decision import interface as api
@@ -94,6 +95,13 @@
         return super().submit(spec, CheckedTransport(transport, self), check_and_answer, account)
 
 
+class FakeTimer:
+    """A timer that never fires by itself."""
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+
 class FakeRequestEngine:
     """A fake engine for the tests of a protocol front: it records requests, and the test answers them."""
 
@@ -102,6 +110,8 @@
         self.disconnected: list[str] = []
         self.last_ticket, self._count = "", 0
         self.settings = make_settings()
+        self.now = T0
+        self.timers: list[tuple[int, Callable[[], None]]] = []
 
     def submit(
         self,
@@ -115,6 +125,11 @@
         self.open_requests[self.last_ticket] = spec, on_answer
         return self.last_ticket
 
+    def call_at(self, due: int, callback: Callable[[], None]) -> Timer:
+        """Record a timer, which the test fires."""
+        self.timers.append((due, callback))
+        return FakeTimer()
+
     def client_disconnected(self, ticket: str) -> None:
         self.disconnected.append(ticket)
 
