9P: a session that the instance ends answers each open message with an error first

Cause: the front ended its session as if the client had gone.

Change: `fail_pending` answers each open message: a change that may have been made "may have happened", any other with the reason; then flushes that wait for it. Then the session ends as before.

--- a/garnetlanding/ninep/dispatcher.py
+++ b/garnetlanding/ninep/dispatcher.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from garnetlanding.core.ports import Answer, InvalidRequestError, RequestSpec, Served
+from garnetlanding.core.ports import Answer, Failed, InvalidRequestError, RequestSpec, Served
 from garnetlanding.ninep import codec, errors
 from garnetlanding.ninep.codec import Message
 from garnetlanding.ninep.errors import ErrorReply
@@ -58,6 +58,16 @@
     return 0
 
 
+def _failure(pending: PendingRequest, reason: str) -> ErrorReply:
+    """Return the error reply to a request that is ended before its reply; a change may have been made."""
+    operation = pending.operation
+    if operation and pending.must_complete:
+        reply = reply_for(operation, Failed(reason), pending.build_reply)
+        if isinstance(reply, ErrorReply):
+            return reply
+    return ErrorReply(errors.EIO, reason)
+
+
 class RequestDispatcher:
     """The requests of one client that have no reply yet.
 
@@ -133,6 +143,14 @@
                 self._abandon(self.pending.pop(tag))
         self._flushed.clear()
 
+    def fail_all(self, reason: str) -> None:
+        """Answer all requests with an error, for a session that the instance ends; then end them."""
+        for tag, pending in list(self.pending.items()):
+            self._replies.error_reply(tag, _failure(pending, reason))
+            for flush_tag in pending.flush_tags:
+                self._replies.message(flush_tag, codec.Rflush())
+        self.cancel_all()
+
     def _abandon(self, pending: PendingRequest) -> None:
         """End a request that cannot be cancelled, for a client that has disconnected.
 
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -87,18 +87,20 @@
                 if self.is_closing:
                     return
                 if self.invalid_messages >= self._limits.max_invalid_commands:
-                    self.close()
+                    self.fail_pending("too many errors")
                     return
                 remaining -= 1
                 if not remaining:
                     self.has_buffered_input = self._framer.has_complete_message
                     return
         except codec.FrameError:
-            self.close()
+            self.fail_pending("message framing lost")
 
-    def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - the end of the connection fails all requests
-        """End the session."""
-        self.close()
+    def fail_pending(self, reason: str) -> None:
+        """Answer all requests with an error, and end the session."""
+        if not self.is_closing:
+            self._session.requests.fail_all(reason)
+            self.close()
 
     def close(self) -> None:
         """End the session, after the client has disconnected or in order to disconnect it."""
--- a/tests/ninep/test_memory.py
+++ b/tests/ninep/test_memory.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from garnetlanding.emulator.faults import Fault, Rule
 from garnetlanding.ninep import codec as p9
 from tests.support.clock import MS, SECOND
 from tests.support.ninep_changes import writable_instance
-from tests.support.ninep_instance import NinepClient, NinepInstance
+from tests.support.ninep_instance import NinepClient, NinepInstance, error_text
 
 SMALL_BUDGET_BYTES = 256 << 10
 
@@ -75,3 +77,24 @@
     instance.run(4 * SECOND, 50 * MS)
     assert instance.shared_state.unanswered_removals == 0
     assert instance.pool.budget.used_bytes == 0
+
+
+@pytest.mark.parametrize("end", ["lost framing", "eviction"])
+def test_a_session_that_the_instance_ends_answers_what_is_open_with_an_error(end: str) -> None:
+    """Regression: the connection ended without a reply to the messages that it had taken."""
+    instance, client = writable_instance()
+    client.open(5, "readme", mode=p9.ORDWR)
+    stall_all_writes(instance)
+    client.send(p9.Twrite(5, 0, b"x"), tag=9)
+    client.send(p9.Twrite(5, 1, b"y"), tag=10)
+    client.send(p9.Tflush(9), tag=11)
+    if end == "eviction":
+        assert not instance.pool.budget.process_account.charge(instance.pool.budget.available_bytes)
+    else:
+        client.send_bytes(b"\x01\x00\x00\x00")
+    instance.run(SECOND, 50 * MS)
+    assert client.closed
+    replies = dict(client.replies)
+    assert error_text(replies[9]).startswith("may have happened")
+    assert error_text(replies[10]) == ("out of memory" if end == "eviction" else "message framing lost")
+    assert replies[11] == p9.Rflush()
