Memory: among connections that hold about the same, evict one without progress first

Need: when memory was short, the connection that held most was closed, whatever its client did: one that was reading a long value went before one that had stopped reading and held a little less.

Of the accounts that hold more than half as much as the largest, and more than the one that is charged, a stalled one is evicted first. One that holds less still loses nothing.

--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -52,7 +52,7 @@
     def __init__(self, listener: ClientConnectionOwner, sock: socket.socket) -> None:
         self._listener = listener
         self._scheduler = listener.scheduler
-        self.account = listener.pool.budget.open_account(self._on_evicted)
+        self.account = listener.pool.budget.open_account(self._on_evicted, self._is_stalled)
         self.stream = Stream(listener.scheduler, sock, listener.pool, listener.limits, self.account)
         self.protocol = listener.protocol_factory(self)
         self.closing = ConnectionClose()
@@ -134,6 +134,13 @@
         self.closing.apply(CloseEvent.ABORTED)
         self.stream.close()
 
+    def _is_stalled(self) -> bool:
+        """Whether the client neither reads what is unsent nor goes on with a message that it has begun."""
+        since = self._scheduler.now - self._listener.limits.stalled_client_timeout_us
+        if not self.stream.flushed:
+            return self.stream.last_sent_at <= since
+        return self.protocol.has_partial_message and self._last_input_at <= since
+
     def _on_evicted(self) -> None:
         """Free what the client makes the process hold, since memory is short and no client holds more.
 
--- a/garnetlanding/runtime/stream.py
+++ b/garnetlanding/runtime/stream.py
@@ -70,6 +70,7 @@
     Unsent output is charged to `account`, by default to the process. Only tasks may call the methods that
     wait (`connect`, `read`, `wait_for_peer_close`). `read_failed` is set if the connection ended with an
     error, such as a reset, instead of an orderly close; what was received before may then be incomplete.
+    `last_sent_at` is when the kernel last accepted bytes, on the event loop's clock.
     `on_flushed` is called once, when the kernel has accepted everything written; `on_write_error` is called
     when the stream has been closed because a write failed.
     """
@@ -88,6 +89,7 @@
         self._limits = limits
         self._unsent = BufferChain(pool, account)
         self._is_writing = False  # a task is writing the unsent bytes
+        self.last_sent_at = scheduler.now  # when the kernel last accepted bytes
         self.closed = False
         self.read_failed = False
         self.on_flushed: Callable[[], None] | None = None
@@ -207,6 +209,7 @@
         if self.closed or not data:
             return
         if not self._is_writing:
+            self.last_sent_at = self._scheduler.now
             try:
                 sent = self._sock.send(data)
             except BlockingIOError:
@@ -240,6 +243,7 @@
                 deadline = self._scheduler.now + self._limits.write_stall_us
                 self._scheduler.wait(self._sock.fileno(), WRITE, deadline)
                 self._unsent.skip(self._sock.send(self._unsent.peek(self._pool.buffer_bytes)))
+                self.last_sent_at = self._scheduler.now
         except BlockingIOError:
             pass
         except (StreamClosedError, DeadlineExceededError, OSError):
--- a/tests/resp/test_connection_ends.py
+++ b/tests/resp/test_connection_ends.py
@@ -163,3 +163,18 @@
     instance.run(SECOND)
     assert instance.client.received == b"-ERR out of memory\r\n" * 2
     assert instance.client.closed
+
+
+def test_a_client_that_reads_is_not_evicted_before_one_that_has_stopped_reading() -> None:
+    """Regression: the one that held a little more was closed, whatever its client did."""
+    instance = TwoBackends()
+    reading, stopped = (LoopbackClient(instance, instance.listener.address) for _ in range(2))
+    connections = [instance.stop_reading(client) for client in (reading, stopped)]
+    for connection, size in zip(connections, (60_000, 40_000), strict=True):
+        connection(bytes(size))
+    instance.run(instance.limits.stalled_client_timeout_us)
+    connections[0].stream.last_sent_at = instance.time  # the kernel has taken something of its bytes
+    budget = instance.pool.budget
+    assert budget.process_account.charge(budget.available_bytes - budget.used_bytes + 1)
+    instance.settle()
+    assert [client.closed for client in (reading, stopped)] == [False, True]
--- a/tests/runtime/test_memory.py
+++ b/tests/runtime/test_memory.py
@@ -11,9 +11,9 @@
 class Holder:
     """A holder that releases everything when it is evicted."""
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, *, stalled: bool = False) -> None:
         self.evicted = False
-        self.account: MemoryAccount = budget.open_account(self.on_evicted)
+        self.account: MemoryAccount = budget.open_account(self.on_evicted, lambda: stalled)
 
     def on_evicted(self) -> None:
         self.evicted = True
@@ -30,6 +30,20 @@
     assert budget.used_bytes == 55
 
 
+def test_of_holders_of_about_the_same_size_one_without_progress_is_evicted_first() -> None:
+    """Regression: a client that read a long value was evicted before one that had stopped reading."""
+    budget = MemoryBudget(100)
+    small, progressing = Holder(budget), Holder(budget)
+    stalled, little = Holder(budget, stalled=True), Holder(budget, stalled=True)
+    for holder, size in ((small, 5), (progressing, 50), (stalled, 30), (little, 15)):
+        assert holder.account.charge(size)
+    assert small.account.charge(5)
+    assert (progressing.evicted, stalled.evicted, little.evicted) == (False, True, False)
+    assert small.account.charge(30)
+    assert progressing.evicted
+    assert not little.evicted, "it holds less than half as much"
+
+
 def test_a_charge_that_would_make_its_holder_the_largest_is_refused() -> None:
     budget = MemoryBudget(100)
     first, second = Holder(budget), Holder(budget)
