RESP2: one command of each connection an iteration while many have commands

Cause: 8 commands of each connection are processed in one iteration of the event loop, 4,800 in all, which takes over a second of the one core; answers of backends wait meanwhile, and the decision module takes them for slow.

Change: once an iteration has 64 events for the decision module, one command of each further connection is processed.

The new test fails without the change.

--- a/garnetlanding/core/engine.py
+++ b/garnetlanding/core/engine.py
@@ -79,6 +79,11 @@
         """The settings in force."""
         return self._dispatcher.settings
 
+    @property
+    def pending_events(self) -> int:
+        """The number of events of this iteration so far, which the decision module gets at its end."""
+        return len(self._events.pending)
+
     @property
     def open_requests(self) -> int:
         """The number of accepted requests whose response is not complete yet."""
--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -64,6 +64,9 @@
         64  # unanswered commands of one client connection; a client that exceeds it is disconnected
     )
     commands_per_iteration: int = 8  # processed of one client connection
+    # Events of an iteration beyond which one command of each connection is processed, so that those with few
+    # commands are not late behind many with a lot.
+    events_per_iteration: int = 64
     max_invalid_commands: int = 8  # per connection, which is then closed
 
     max_usage_percent: int = 100_000  # usage of a plan's rate above this is implausible
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -161,6 +161,8 @@
         if self.is_closing:
             return
         remaining = self._limits.commands_per_iteration
+        if self._engine.pending_events >= self._limits.events_per_iteration:
+            remaining = 1
         try:
             for arguments in self._decoder.feed(data):
                 self.messages_received += 1
--- a/tests/resp/test_client_connections.py
+++ b/tests/resp/test_client_connections.py
@@ -201,3 +201,21 @@
     instance.run(400 * MS)
     assert late.closed or idle.closed, "a client without a request was evicted for a backend"
     assert instance.resp_upstream.capacity.open_count == 3
+
+
+def test_many_clients_with_many_commands_do_not_make_one_with_few_wait() -> None:
+    """Regression: 600 clients had 8 commands each processed in one iteration, which took over a second."""
+    instance = SimulatedInstance()
+    instance.list_endpoints()
+    front = instance.start_resp_listener()
+    clients = [instance.connect(front.address) for _ in range(40)]
+    for client in clients:
+        assert client.stream
+        client.stream.write(b"".join(read_command(f"{id(client)}-{number}") for number in range(30)))
+    accepted = [0]
+    while accepted[-1] < 40 * 30:
+        instance.run_iteration(1.0)
+        accepted.append(instance.core.metrics.accepted)
+    limits = instance.limits
+    most = limits.events_per_iteration + limits.commands_per_iteration + len(clients)
+    assert max(after - before for before, after in zip(accepted, accepted[1:], strict=False)) <= most
--- a/tests/support/simulated_instance.py
+++ b/tests/support/simulated_instance.py
@@ -111,6 +111,7 @@
         self.last_ticket, self._count = "", 0
         self.settings = make_settings()
         self.now = T0
+        self.pending_events = 0
         self.timers: list[tuple[int, Callable[[], None]]] = []
 
     def submit(
