Shutdown: answer 9P changes that wait for earlier ones

Cause: the phase rejecting fails what the engine has; changes that wait for an earlier one, or for their client's share of the core, are in the 9P front. The one in flight may still run, so that its file is paused for longer than the process has left.

Change: before it fails what the engine has, the shutdown has each protocol answer what it has not passed on, from the last to the first, so that none of it begins.

--- a/garnetlanding/daemon/shutdown.py
+++ b/garnetlanding/daemon/shutdown.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger(__name__)
 
+SHUTDOWN_REASON = "ending"
+"""What the clients are told of requests that the shutdown ends."""
+
 
 class Shutdown:
     """Runs the phases of a shutdown, then stops every subsystem, even after one has failed to stop.
@@ -81,9 +84,15 @@
                 self._stop_accepting()
             if phase is Phase.REJECTING:
                 # SIGKILL follows soon, and a request without an answer by then would never get one.
-                self._core.abort_all("ending")
+                self._fail_all_requests()
             self._scheduler.sleep(self._limits.shutdown_poll_us)
 
+    def _fail_all_requests(self) -> None:
+        """Answer all open requests with an error; first those that wait, so that they are never sent."""
+        for listener in self._listeners:
+            listener.fail_waiting(SHUTDOWN_REASON)
+        self._core.abort_all(SHUTDOWN_REASON)
+
     def _stop_accepting(self) -> None:
         """Close idle connections, then stop accepting.
 
--- a/garnetlanding/emulator/base.py
+++ b/garnetlanding/emulator/base.py
@@ -35,6 +35,9 @@
         """Handle bytes from the client."""
         raise NotImplementedError
 
+    def fail_waiting(self, reason: str) -> None:
+        """Do nothing: no request waits."""
+
     def fail_pending(self, reason: str) -> None:
         """Do nothing: the connection is closed."""
 
--- a/garnetlanding/ninep/dispatcher.py
+++ b/garnetlanding/ninep/dispatcher.py
@@ -151,6 +151,23 @@
                 self._replies.message(flush_tag, codec.Rflush())
         self.cancel_all()
 
+    def fail_waiting(self, reason: str) -> None:
+        """Answer the requests that have not been submitted to the core, and remove them.
+
+        They wait for earlier changes or for the client's share of the core. A clunk that waits has been done.
+        """
+        # In reverse order, so that the end of one change does not start another one that is answered here.
+        for tag, pending in reversed(list(self.pending.items())):
+            if pending.ticket or tag not in self.pending:
+                continue
+            self._queue.pop(pending, None)
+            is_clunk = pending.operation is None
+            self._complete(
+                tag, pending, pending.build_reply(None) if is_clunk else ErrorReply(errors.EIO, reason)
+            )
+            if pending.change_ticket:
+                self._shared.finish_change(self._client, pending.change_ticket, outcome_unknown=False)
+
     def _abandon(self, pending: PendingRequest) -> None:
         """End a request that cannot be cancelled, for a client that has disconnected.
 
--- a/garnetlanding/ninep/front.py
+++ b/garnetlanding/ninep/front.py
@@ -96,6 +96,10 @@
         except codec.FrameError:
             self.fail_pending("message framing lost")
 
+    def fail_waiting(self, reason: str) -> None:
+        """Answer the requests that wait for others with an error; nothing of them begins any more."""
+        self._session.requests.fail_waiting(reason)
+
     def fail_pending(self, reason: str) -> None:
         """Answer all requests with an error, and end the session."""
         if not self.is_closing:
--- a/garnetlanding/ops/admin_connection.py
+++ b/garnetlanding/ops/admin_connection.py
@@ -64,6 +64,9 @@
         self.is_closing = True
         self._write(self._encode(response))
 
+    def fail_waiting(self, reason: str) -> None:
+        """Do nothing: nothing waits."""
+
     def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - a call is answered as soon as it is complete
         """Accept no more input; nothing is pending."""
         self.close()
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -180,6 +180,9 @@
             # Closing the connection without an error reply would lose the replies to requests in progress.
             self._close_with_error("out of buffers")
 
+    def fail_waiting(self, reason: str) -> None:
+        """Do nothing: each request is passed on to the engine at once."""
+
     def fail_pending(self, reason: str) -> None:
         """Abort the requests in progress, and answer all that is pending with an error."""
         self.is_closing = True
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -211,6 +211,11 @@
 
     # Shutdown
 
+    def fail_waiting(self, reason: str) -> None:
+        """Answer the requests of all connections that have not reached the engine yet with an error."""
+        for client in list(self._clients):
+            client.protocol.fail_waiting(reason)
+
     def close_idle(self) -> None:
         """Close idle connections now and, until `close_when_idle` is reset, others when they become idle."""
         self.close_when_idle = True
--- a/garnetlanding/runtime/protocols.py
+++ b/garnetlanding/runtime/protocols.py
@@ -67,6 +67,9 @@
     def feed(self, data: bytes | memoryview) -> None:
         """Process received bytes; `data` is only valid during the call."""
 
+    def fail_waiting(self, reason: str) -> None:
+        """Answer with an error each request that the protocol has not passed on to the engine yet."""
+
     def fail_pending(self, reason: str) -> None:
         """Accept no more input; discard responses that wait, and answer what is pending with an error.
 
--- a/garnetlanding/store/writer_machine.py
+++ b/garnetlanding/store/writer_machine.py
@@ -67,6 +67,9 @@
             log.warning("follower rejected", extra={"kv": {"why": problem}})
             self.is_closing = True
 
+    def fail_waiting(self, reason: str) -> None:
+        """Do nothing: nothing waits."""
+
     def fail_pending(self, reason: str) -> None:  # noqa: ARG002 - the follower connects again
         """Stop sending; nothing is pending."""
         self.close()
