Backend connections: a late second reply is not served to another request

Cause: RESP2 replies have no id, and a connection was reused at once, checked for unread bytes in that moment only. All messages of a 9P server connection had one tag.

Change: a RESP2 backend connection rests for 12 ms before it is reused; bytes that come meanwhile close it. If no other may be opened, one is used without its rest. 9P messages of attempts have tags in rotation. Simulated instances, whose clock stands still between requests, have no rest unless a test sets one.

Lists of limits: one value more.

--- a/garnetlanding/limits.py
+++ b/garnetlanding/limits.py
@@ -109,6 +109,9 @@
     backend_idle_us: int = (
         24 * SECOND
     )  # shorter than the time after which a backend closes an idle connection
+    # A backend may send a second reply some milliseconds late, which would be taken for the reply to the next
+    # request of its connection.
+    backend_rest_us: int = 12 * MS  # before a connection is reused
     sweep_us: int = SECOND  # interval between checks for idle backend connections
     client_sweep_us: int = 100 * MS  # interval between checks for client connections to close
     accept_pause_us: int = 10 * MS  # before accepting again after a failure
--- a/garnetlanding/ninep/client.py
+++ b/garnetlanding/ninep/client.py
@@ -24,12 +24,18 @@
 from garnetlanding.runtime.stream import parse_address
 from garnetlanding.runtime.upstream import Upstream
 
-ATTEMPT_TAG = 1
-"""Tag of the message that the attempt has in flight."""
+ATTEMPT_TAGS = range(1, 0x8000)
+"""Tags of the messages of attempts, in rotation: a second reply is not taken for that to the next message."""
 
-CLUNK_TAGS = range(2, 0xFFFF)
+CLUNK_TAGS = range(0x8000, 0xFFFF)
 """Tags of clunks, assigned in rotation."""
 
+
+def next_tag(tag: int, tags: range) -> int:
+    """Return the tag after `tag` in rotation."""
+    return tag + 1 if tag + 1 in tags else tags[0]
+
+
 OFFERED_VERSIONS = {
     "auto": (codec_linux.VERSION, codec.VERSION),
     codec.VERSION: (codec.VERSION,),
@@ -70,6 +76,7 @@
         self._framer = codec.Framer(pool, limits.ninep_msize, account=account)
         self._attempt: AttemptHandle | None = None
         self._exchange: Steps[Any] | None = None
+        self._attempt_tag = ATTEMPT_TAGS[0]  # of the message in flight
         self._clunk_tags: set[int] = set()  # tags of clunks in flight
         self._next_clunk_tag = CLUNK_TAGS[0]
         self.bytes_may_have_been_sent = False
@@ -122,7 +129,7 @@
             raise UnsolicitedResponseError
         if isinstance(message, codec.MalformedMessage):
             raise BackendProtocolError(message.reason)
-        if tag != (codec.NOTAG if isinstance(message, codec.Rversion) else ATTEMPT_TAG):
+        if tag != (codec.NOTAG if isinstance(message, codec.Rversion) else self._attempt_tag):
             raise BackendProtocolError(f"reply with unexpected tag {tag}")
         self._advance_exchange(message)
 
@@ -140,9 +147,11 @@
             raise BackendProtocolError("server is draining")
         self._record_exposure(message)
         self._framer.table = self._session.table
-        self._write(
-            codec.encode(codec.NOTAG if isinstance(message, codec.Tversion) else ATTEMPT_TAG, message)
-        )
+        if isinstance(message, codec.Tversion):
+            self._write(codec.encode(codec.NOTAG, message))
+            return
+        self._attempt_tag = next_tag(self._attempt_tag, ATTEMPT_TAGS)
+        self._write(codec.encode(self._attempt_tag, message))
 
     def _record_exposure(self, message: codec.Message) -> None:
         """Record that the server may execute the operation once it has received this message.
@@ -188,7 +197,7 @@
         self._session.fids_to_clunk = []
         for fid in fids:
             tag = self._next_clunk_tag
-            self._next_clunk_tag = tag + 1 if tag + 1 in CLUNK_TAGS else CLUNK_TAGS[0]
+            self._next_clunk_tag = next_tag(tag, CLUNK_TAGS)
             self._clunk_tags.add(tag)
             self._write(codec.encode(tag, codec.Tclunk(fid)))
 
--- a/garnetlanding/resp/backend_protocol.py
+++ b/garnetlanding/resp/backend_protocol.py
@@ -153,6 +153,7 @@
         self._timers = timers
         self._pool = pool
         self._limits = limits
+        self.rest_us = limits.backend_rest_us
 
     def create(
         self,
--- a/garnetlanding/runtime/connection_pool.py
+++ b/garnetlanding/runtime/connection_pool.py
@@ -49,16 +49,20 @@
 
     # Reuse
 
-    def take_idle(self, key: ConnectionKey, attempt: AttemptHandle) -> BackendConnection | None:
+    def take_idle(
+        self, key: ConnectionKey, attempt: AttemptHandle, idle_since: int | None = None
+    ) -> BackendConnection | None:
         """Take an idle connection for an attempt, which makes it busy; return `None` if there is none.
 
-        Idle connections that have become unusable are closed.
+        With `idle_since`, only one that has been idle since that time. Idle connections that have become
+        unusable are closed.
         """
         idle = self._idle.get(key)
         while idle:
             # The most recently used one, unless another is preferred: the others can then time out.
-            preferred = (free for free in reversed(idle) if free.protocol.can_carry(attempt))
-            connection = next(preferred, idle[-1])
+            connection = self._preferred(idle, attempt, idle_since)
+            if connection is None:
+                return None
             if connection.is_reusable():
                 idle.remove(connection)
                 return connection
@@ -67,6 +71,19 @@
             connection.close()
         return None
 
+    @staticmethod
+    def _preferred(
+        idle: list[BackendConnection], attempt: AttemptHandle, idle_since: int | None
+    ) -> BackendConnection | None:
+        most_recent = None
+        for connection in reversed(idle):
+            if idle_since is not None and connection.idle_since > idle_since:
+                continue
+            if connection.protocol.can_carry(attempt):
+                return connection
+            most_recent = most_recent or connection
+        return most_recent
+
     def put_idle(self, connection: BackendConnection) -> None:
         """Make a connection available for reuse, unless it is closed or exceeds the quota."""
         if not connection.closed:
--- a/garnetlanding/runtime/protocols.py
+++ b/garnetlanding/runtime/protocols.py
@@ -123,6 +123,12 @@
 class BackendProtocolFactory(ABC):
     """Creates protocols for `Upstream` and decides which attempts may share a connection."""
 
+    rest_us = 0
+    """Time between the end of an attempt and the next one on its connection, in microseconds.
+
+    For protocols in which a second reply to the first attempt would be taken for the reply to the next one.
+    """
+
     @abstractmethod
     def create(
         self, attempt: AttemptHandle, write: Write, on_idle: Callable[[], None], account: MemoryAccount
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -58,16 +58,18 @@
             return
         factory = self.protocol_factory
         key = factory.resolve_address(endpoint), factory.connection_key(attempt)
-        connection = self.connections.take_idle(key, attempt)
+        rested_since = self.scheduler.now - factory.rest_us
+        connection = self.connections.take_idle(key, attempt, rested_since)
         if connection:
-            self._busy[attempt] = connection
-            connection.begin(attempt)
+            self._begin(connection, attempt)
             return
         denied = self._outcome_if_connect_denied(key, attempt.backend)
-        if denied:
+        if not denied:
+            self._connect(key, attempt)
+        elif connection := self.connections.take_idle(key, attempt):
+            self._begin(connection, attempt)  # without a rest, rather than not at all
+        else:
             attempt.finish(denied)
-            return
-        self._connect(key, attempt)
 
     def stop(self, attempt: AttemptHandle) -> None:
         """Stop the attempt by closing its connection."""
@@ -76,6 +78,10 @@
             connection.attempt = None
             connection.close()
 
+    def _begin(self, connection: BackendConnection, attempt: AttemptHandle) -> None:
+        self._busy[attempt] = connection
+        connection.begin(attempt)
+
     # New connections
 
     def _outcome_if_connect_denied(self, key: ConnectionKey, backend: str) -> Outcome | None:
--- a/tests/ninep/test_server_faults.py
+++ b/tests/ninep/test_server_faults.py
@@ -10,7 +10,7 @@
 from garnetlanding.ninep import codec as p9
 from garnetlanding.ninep import codec_linux as p9l
 from garnetlanding.ninep import errors
-from tests.support.clock import SECOND
+from tests.support.clock import MS, SECOND
 from tests.support.ninep_changes import LINUX, PLAIN, error_number, writable_instance
 from tests.support.ninep_instance import NinepClient, NinepInstance, error_text
 
@@ -80,3 +80,26 @@
         assert error_number(client.request(message)) == errors.EROFS, message
     assert client.request(p9l.Tfsync(5, 0)) == p9l.Rfsync()
     assert len(instance.file_servers[0].received) == received_before
+
+
+def test_a_second_reply_is_not_served_to_the_next_message() -> None:
+    """Regression: all messages of a connection had one tag, so that it was taken for the next reply."""
+    instance = NinepInstance()
+    client = NinepClient(instance)
+    client.open(5, "readme")
+    client.open(6, "sv", "notes")
+    [server] = instance.file_servers
+    instance.withhold_replies(p9.Tread)
+    client.send(p9.Tread(5, 0, 100), tag=7)
+    [(first_tag, _, connection)] = server.held_messages
+    server.release()
+    instance.settle()
+    assert client.replies[-1] == (7, p9.Rread(b"hello"))
+    instance.withhold_replies(p9.Tread)
+    client.send(p9.Tread(6, 0, 100), tag=8)
+    connection.write(p9.encode(first_tag, p9.Rread(b"hello")))
+    instance.settle()
+    server.holds_reply = lambda _: False
+    instance.run(2 * SECOND, 50 * MS)
+    replies = dict(client.replies)
+    assert replies[8] == p9.Rread(b"draft"), "read again on a new connection"
--- a/tests/runtime/test_upstream.py
+++ b/tests/runtime/test_upstream.py
@@ -8,6 +8,7 @@
 from garnetlanding.decision.interface import Outcome
 from garnetlanding.emulator.backend import EmulatedBackend
 from garnetlanding.emulator.discovery import EmulatedEndpoint
+from garnetlanding.resp import codec
 from tests.support.clock import MS
 from tests.support.runtime import InstanceWithBackend
 from tests.support.simulated_instance import read_command
@@ -158,3 +159,43 @@
     instance.run(200 * MS)
     assert len(moved.received) == 1
     assert instance.client.received == b"$0\r\n\r\n"
+
+
+REST_US = 12 * MS
+
+
+def second_reply(instance: InstanceWithBackend, value: bytes) -> None:
+    """Let the backend send one more reply on its first connection."""
+    reply = b"*3\r\n" + codec.encode_bulk(value) + codec.encode_bulk(b"used=50") + b"$-1\r\n"
+    instance.backend.connections[0].write(reply)
+
+
+def test_a_second_reply_some_milliseconds_late_is_not_served_to_the_next_request() -> None:
+    """Regression: it was taken for the reply to the request that had followed on its connection."""
+    instance = InstanceWithBackend(backend_rest_us=REST_US)
+    instance.backend.data |= {b"k1": b"one", b"k2": b"two"}
+    assert instance.client.send_bytes(read_command("r1", key="k1")) == b"$3\r\none\r\n"
+    instance.run(5 * MS, MS)
+    instance.backend.scripted_responses = [None]
+    instance.client.send_bytes(read_command("r2", key="k2"))
+    second_reply(instance, b"one")
+    instance.settle()
+    instance.backend.release()
+    instance.settle()
+    assert instance.client.received == b"$3\r\none\r\n$3\r\ntwo\r\n"
+    assert len(instance.backend.connections) == 1, "that of the second reply is closed"
+
+
+def test_a_connection_is_reused_after_its_rest() -> None:
+    instance = InstanceWithBackend(backend_rest_us=REST_US)
+    for number in range(3):
+        instance.client.send_bytes(read_command(f"r{number}"))
+        instance.run(REST_US, MS)
+    assert instance.backend.accepted_connections == 1
+
+
+def test_a_connection_is_reused_without_a_rest_if_no_other_may_be_opened() -> None:
+    instance = InstanceWithBackend(backend_rest_us=REST_US, connections_per_backend=1)
+    for number in range(3):
+        assert instance.client.send_bytes(read_command(f"r{number}")) == b"$0\r\n\r\n"
+    assert instance.backend.accepted_connections == 1
--- a/tests/support/simulated_instance.py
+++ b/tests/support/simulated_instance.py
@@ -147,7 +147,8 @@
         self.close_open()
         SimulatedInstance._open = self
         self.time: int = T0
-        self.limits = replace(Limits(), **limits)
+        # The clock stands still while a test sends several requests, which may share a connection.
+        self.limits = replace(Limits(), **({"backend_rest_us": 0} | limits))
         self.scheduler: Scheduler = Scheduler(lambda: self.time)
         self.pool = BufferPool(self.limits.buffer_bytes, 64, 4096)
         self.core = CheckedRequestEngine(
