Pending replies in a module of their own; admin and store connections drop their write too

Change: PendingReply and the encoding of answers move to resp/pending_reply.py unchanged; both protocols discard what is written after `close`; the test waits for its condition, with the same checks.

--- a/garnetlanding/ops/admin_connection.py
+++ b/garnetlanding/ops/admin_connection.py
@@ -13,6 +13,7 @@
 from garnetlanding.ops.admin_target import AdminTarget
 from garnetlanding.ops.errors import DisableRejectedError
 from garnetlanding.runtime.buffers import BufferPool
+from garnetlanding.runtime.protocols import discard_bytes
 
 log = logging.getLogger(__name__)
 
@@ -75,6 +76,7 @@
         """Abandon the request and release its buffers."""
         self.is_closing = True
         self._parser.close()
+        self._write = discard_bytes
 
     def _read_and_dispatch(self, data: bytes | memoryview) -> AdminResponse | None:
         """Return the response, or None until the request is complete."""
--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -12,10 +12,11 @@
 
 from garnetlanding.core.body import CLOSED_SINK, Body, Sink
 from garnetlanding.core.engine import RequestEngine
-from garnetlanding.core.ports import Answer, BackendTransport, InvalidRequestError, Rejected, Served, Timer
-from garnetlanding.limits import MS, Limits
+from garnetlanding.core.ports import BackendTransport, InvalidRequestError
+from garnetlanding.limits import Limits
 from garnetlanding.resp import codec
 from garnetlanding.resp.errors import InvalidArgumentError, InvalidCommandError, Problem, ProtocolError
+from garnetlanding.resp.pending_reply import PendingReply, encode_answer
 from garnetlanding.resp.request import parse_request
 from garnetlanding.runtime.buffers import BufferPool
 from garnetlanding.runtime.errors import BufferPoolExhaustedError
@@ -50,47 +51,6 @@
     """Client-assigned ids of the requests in progress, over all connections."""
 
 
-class PendingReply:
-    """The reply to one command, which is written after the replies to all earlier commands.
-
-    `reply` is `None` until it is known. `held_bytes` have been charged to the client while it waits. While
-    the command's request is in progress, `ticket` identifies it to the engine and `request_id` to the client.
-    `stream_by` is the time at which a streamed value is no longer collected, `collect_timer` the timer that
-    ends it, both set for a request only.
-    """
-
-    __slots__ = ("collect_timer", "held_bytes", "reply", "request_id", "stream_by", "ticket")
-
-    def __init__(self) -> None:
-        self.reply: bytes | Body | None = None
-        self.held_bytes = 0
-        self.ticket: str | None = None
-        self.request_id = b""
-        self.stream_by = 0
-        self.collect_timer: Timer | None = None
-
-    def stop_collect_timer(self) -> None:
-        """Cancel the timer, if it is set."""
-        if self.collect_timer:
-            self.collect_timer.cancel()
-            self.collect_timer = None
-
-
-def encode_answer(answer: Answer) -> bytes | Body:
-    """Encode the engine's answer as a reply; a streamed value is returned as its `Body`."""
-    match answer:
-        case Served(Body() as body):
-            return body
-        case Served(value):
-            return codec.encode_bulk(value)
-        case Rejected(retry_after_us) if retry_after_us:
-            retry_after_ms = -(-retry_after_us // MS)  # rounded up: a retry must not come early
-            return b"-BUSY %d\r\n" % retry_after_ms
-        case Rejected():
-            return b"-BUSY\r\n"
-    return codec.encode_error("ERR " + answer.reason)
-
-
 class RespClientProtocol:
     """Implements the runtime's `ClientProtocol` for RESP2: submits requests, writes replies in order.
 
--- a/garnetlanding/store/writer_machine.py
+++ b/garnetlanding/store/writer_machine.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from garnetlanding.limits import Limits
+from garnetlanding.runtime.protocols import discard_bytes
 from garnetlanding.runtime.scheduler import Scheduler, Timer
 from garnetlanding.store.errors import ProtocolViolation, ReplicationProtocolError
 from garnetlanding.store.replication_codec import (
@@ -81,6 +82,7 @@
             self._heartbeat_timer.cancel()
         if self._send_entry in self._store.observers:
             self._store.observers.remove(self._send_entry)
+        self._write = discard_bytes
 
     def _handle(self, fields: JsonObject) -> None:
         if not self._following:
--- a/tests/resp/test_front.py
+++ b/tests/resp/test_front.py
@@ -10,7 +10,7 @@
 from garnetlanding.limits import MS
 from garnetlanding.resp import codec
 from garnetlanding.resp.errors import InvalidCommandError
-from garnetlanding.resp.front import encode_answer
+from garnetlanding.resp.pending_reply import encode_answer
 from garnetlanding.resp.request import parse_request
 from tests.support.clock import SECOND
 from tests.support.decision_bench import make_settings
--- a/tests/resp/test_front_model.py
+++ b/tests/resp/test_front_model.py
@@ -6,7 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from garnetlanding.core.ports import Answer, Failed, Rejected, Served
-from garnetlanding.resp.front import RespClientProtocol, RespListenerContext, encode_answer
+from garnetlanding.resp.front import RespClientProtocol, RespListenerContext
+from garnetlanding.resp.pending_reply import encode_answer
 from tests.support.resp import LIMITS, pool
 from tests.support.simulated_instance import FakeRequestEngine, read_command
 
--- a/tests/runtime/test_memory_without_collector.py
+++ b/tests/runtime/test_memory_without_collector.py
@@ -24,7 +24,8 @@
 from garnetlanding.ninep.operations import Operation
 from garnetlanding.ninep.pending import PendingRequest
 from garnetlanding.resp import codec
-from garnetlanding.resp.front import PendingReply, RespClientProtocol
+from garnetlanding.resp.front import RespClientProtocol
+from garnetlanding.resp.pending_reply import PendingReply
 from garnetlanding.runtime.backend_connection import BackendConnection
 from garnetlanding.runtime.client_connection import ClientConnection
 from tests.support.clock import MS, SECOND
--- a/tests/runtime/test_scheduler.py
+++ b/tests/runtime/test_scheduler.py
@@ -65,7 +65,7 @@
         seen.append("went on")
 
     scheduler.spawn(body)
-    for _ in range(3):
+    while not waiting:
         scheduler.run_iteration(0)
     [wake] = waiting
     wake()
