Backend connections: no eviction and no quota request for one that only needs a rest

Need: while an idle connection rested, a new one was opened even if an idle client had to be evicted for it, or peers had to be asked for quota: an eviction for what is not scarce.

Change: a new connection is opened only where there is room without closing another one; otherwise the idle one is used without its rest.

--- a/garnetlanding/runtime/connection_capacity.py
+++ b/garnetlanding/runtime/connection_capacity.py
@@ -8,6 +8,10 @@
 class CapacityOwner(Protocol):
     """The client side, which lends capacity that it does not need to backend connections."""
 
+    @property
+    def has_room(self) -> bool:
+        """Whether there is room for one connection without evicting a client."""
+
     def reserve(self) -> bool:
         """Make room for one connection, evicting an idle client if needed; return whether there is room."""
 
@@ -60,6 +64,13 @@
         """Fraction of the connections that are open, from 0 to 1."""
         return self.open_count / self._max_connections
 
+    @property
+    def has_room(self) -> bool:
+        """Whether one more connection may be opened without evicting a client."""
+        if self.open_count >= int(self._max_connections * self.quota):
+            return False
+        return self.open_count < self.reserved or self.owner is None or self.owner.has_room
+
     def reserve(self) -> bool:
         """Return whether one more connection may be opened, evicting an idle client if necessary."""
         if self.open_count >= int(self._max_connections * self.quota):
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -148,9 +148,14 @@
         """Fraction of the connections that are open or granted, from 0 to 1."""
         return (self._granted + len(self._clients)) / self._max_connections
 
+    @property
+    def has_room(self) -> bool:
+        """Whether there is room for one connection without evicting another."""
+        return self._available > 0
+
     def reserve(self) -> bool:
         """Make room for one connection, evicting an idle one if necessary; return whether there is room."""
-        return self._available > 0 or self._evict()
+        return self.has_room or self._evict()
 
     def _sweep(self) -> None:
         """Evict idle connections while few are free, so that new clients need not wait for one."""
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -60,16 +60,18 @@
         key = factory.resolve_address(endpoint), factory.connection_key(attempt)
         rested_since = self.scheduler.now - factory.rest_us
         connection = self.connections.take_idle(key, attempt, rested_since)
+        if connection is None and not self._has_room(key, attempt.backend):
+            # One without a rest, rather than an eviction or no connection at all.
+            connection = self.connections.take_idle(key, attempt)
         if connection:
-            self._begin(connection, attempt)
+            self._busy[attempt] = connection
+            connection.begin(attempt)
             return
         denied = self._outcome_if_connect_denied(key, attempt.backend)
-        if not denied:
-            self._connect(key, attempt)
-        elif connection := self.connections.take_idle(key, attempt):
-            self._begin(connection, attempt)  # without a rest, rather than not at all
-        else:
+        if denied:
             attempt.finish(denied)
+            return
+        self._connect(key, attempt)
 
     def stop(self, attempt: AttemptHandle) -> None:
         """Stop the attempt by closing its connection."""
@@ -78,12 +80,18 @@
             connection.attempt = None
             connection.close()
 
-    def _begin(self, connection: BackendConnection, attempt: AttemptHandle) -> None:
-        self._busy[attempt] = connection
-        connection.begin(attempt)
-
     # New connections
 
+    def _has_room(self, key: ConnectionKey, backend: str) -> bool:
+        """Return whether a connection may be opened without closing another one."""
+        open_count = self.connections.count(key)
+        quota = self.connections.quota
+        return (
+            open_count < self.limits.connections_per_backend
+            and (quota is None or open_count < quota.max_connections(backend))
+            and self.capacity.has_room
+        )
+
     def _outcome_if_connect_denied(self, key: ConnectionKey, backend: str) -> Outcome | None:
         """Return the outcome of an attempt for which no connection may be opened, `None` if one may."""
         open_count = self.connections.count(key)
--- a/tests/runtime/test_connection_capacity.py
+++ b/tests/runtime/test_connection_capacity.py
@@ -14,6 +14,10 @@
         self.grants = grants
         self.requests = 0
 
+    @property
+    def has_room(self) -> bool:
+        return self.grants
+
     def reserve(self) -> bool:
         self.requests += 1
         return self.grants
@@ -34,6 +38,20 @@
     assert capacity.granted == 1
 
 
+@pytest.mark.parametrize("grants", [True, False])
+def test_whether_there_is_room_is_told_without_a_request(grants: bool) -> None:
+    capacity = UpstreamCapacity(4, reserved=2)
+    owner = FakeCapacityOwner(grants=grants)
+    capacity.owner = owner
+    capacity.open_count = 1
+    assert capacity.has_room
+    capacity.open_count = 2
+    assert capacity.has_room is grants
+    capacity.open_count = 4
+    assert not capacity.has_room
+    assert owner.requests == 0
+
+
 def test_at_the_limit_no_connection_is_available_and_clients_are_not_asked() -> None:
     capacity = UpstreamCapacity(4, reserved=2)
     owner = FakeCapacityOwner(grants=True)
--- a/tests/runtime/test_upstream.py
+++ b/tests/runtime/test_upstream.py
@@ -199,3 +199,20 @@
     for number in range(3):
         assert instance.client.send_bytes(read_command(f"r{number}")) == b"$0\r\n\r\n"
     assert instance.backend.accepted_connections == 1
+
+
+def test_no_client_is_evicted_for_a_connection_that_only_needs_a_rest() -> None:
+    instance = InstanceWithBackend(
+        backend_rest_us=REST_US,
+        reserved_backend_connections=1,
+        client_connections=2,
+        connections_per_backend=9,
+    )
+    front = instance.start_resp_listener()
+    front.capacity_user, instance.resp_upstream.capacity.owner = instance.resp_upstream.capacity, front
+    busy, idle = instance.connect(front.address), instance.connect(front.address)
+    instance.run(instance.limits.new_client_timeout_us, 10 * MS)  # the idle one may be evicted
+    for number in range(3):
+        assert busy.send_bytes(read_command(f"r{number}")) == b"$0\r\n\r\n"
+    assert instance.backend.accepted_connections == 1
+    assert not idle.closed
