--- a/garnetlanding/resp/front.py
+++ b/garnetlanding/resp/front.py
@@ -329,15 +329,20 @@
         collected until it is whole, its time is over, or memory becomes scarce.
         """
         now = self._engine.now
-        may_collect = not self._pool.budget.is_scarce
-        if not self._is_pipelining or body.is_whole or now >= pending.stream_by or not may_collect:
+        if not self._is_pipelining or body.is_whole:
+            return False
+        if now >= pending.stream_by or not self._may_collect():
             return False
         if pending.collect_timer is None:
             pending.stream_by = min(pending.stream_by, now + self._limits.stream_collect_us)
             pending.collect_timer = self._engine.call_at(pending.stream_by, self._write_ready)
-            body.collect(self._write_ready, lambda: not self._pool.budget.is_scarce)
+            body.collect(self._write_ready, self._may_collect)
         return True
 
+    def _may_collect(self) -> bool:
+        """Return whether there is memory for values that are collected."""
+        return not self._pool.budget.is_scarce
+
     def _begin_streaming(self, body: Body, preceding: list[bytes]) -> None:
         """Write the preceding replies and the header of a streamed value; its bytes follow as they arrive."""
         self._write(b"".join([*preceding, b"$%d\r\n" % body.length]))
--- a/garnetlanding/runtime/client_connection.py
+++ b/garnetlanding/runtime/client_connection.py
@@ -70,11 +70,6 @@
         protocol = self.protocol
         return not protocol.pending_responses and not protocol.has_partial_message and self.stream.flushed
 
-    @property
-    def has_partial_message(self) -> bool:
-        """Whether the client has sent a message only in part."""
-        return self.protocol.has_partial_message
-
     @property
     def evictable_from(self) -> int | None:
         """Time from which the connection may be evicted; `None` if its current state forbids that.
--- a/garnetlanding/runtime/connection_capacity.py
+++ b/garnetlanding/runtime/connection_capacity.py
@@ -9,7 +9,7 @@
     """The client side, which lends capacity that it does not need to backend connections."""
 
     @property
-    def has_room(self) -> bool:
+    def has_free_capacity(self) -> bool:
         """Whether there is room for one connection without evicting a client."""
 
     def reserve(self) -> bool:
@@ -65,11 +65,11 @@
         return self.open_count / self._max_connections
 
     @property
-    def has_room(self) -> bool:
+    def has_free_capacity(self) -> bool:
         """Whether one more connection may be opened without evicting a client."""
         if self.open_count >= int(self._max_connections * self.quota):
             return False
-        return self.open_count < self.reserved or self.owner is None or self.owner.has_room
+        return self.open_count < self.reserved or self.owner is None or self.owner.has_free_capacity
 
     def reserve(self) -> bool:
         """Return whether one more connection may be opened, evicting an idle client if necessary."""
--- a/garnetlanding/runtime/listener.py
+++ b/garnetlanding/runtime/listener.py
@@ -149,13 +149,13 @@
         return (self._granted + len(self._clients)) / self._max_connections
 
     @property
-    def has_room(self) -> bool:
+    def has_free_capacity(self) -> bool:
         """Whether there is room for one connection without evicting another."""
         return self._available > 0
 
     def reserve(self) -> bool:
         """Make room for one connection, evicting an idle one if necessary; return whether there is room."""
-        return self.has_room or self._evict()
+        return self.has_free_capacity or self._evict()
 
     def _sweep(self) -> None:
         """Evict idle connections while few are free, so that new clients need not wait for one."""
@@ -182,8 +182,9 @@
         for client in self._clients:
             evictable_from = client.evictable_from
             if evictable_from is not None and evictable_from <= now:
-                has_sent_request = client.protocol.requests_received > 0
-                candidates.append((client.has_partial_message, has_sent_request, evictable_from, client))
+                protocol = client.protocol
+                has_sent_request = protocol.requests_received > 0
+                candidates.append((protocol.has_partial_message, has_sent_request, evictable_from, client))
         evicted = 0
         for *_, client in sorted(candidates, key=lambda candidate: candidate[:3]):
             if evicted >= count:
--- a/garnetlanding/runtime/upstream.py
+++ b/garnetlanding/runtime/upstream.py
@@ -60,7 +60,7 @@
         key = factory.resolve_address(endpoint), factory.connection_key(attempt)
         rested_since = self.scheduler.now - factory.rest_us
         connection = self.connections.take_idle(key, attempt, rested_since)
-        if connection is None and not self._has_room(key, attempt.backend):
+        if connection is None and not self._has_capacity(key, attempt.backend):
             # One without a rest, rather than an eviction or no connection at all.
             connection = self.connections.take_idle(key, attempt)
         if connection:
@@ -82,14 +82,14 @@
 
     # New connections
 
-    def _has_room(self, key: ConnectionKey, backend: str) -> bool:
+    def _has_capacity(self, key: ConnectionKey, backend: str) -> bool:
         """Return whether a connection may be opened without closing another one."""
         open_count = self.connections.count(key)
         quota = self.connections.quota
         return (
             open_count < self.limits.connections_per_backend
             and (quota is None or open_count < quota.max_connections(backend))
-            and self.capacity.has_room
+            and self.capacity.has_free_capacity
         )
 
     def _outcome_if_connect_denied(self, key: ConnectionKey, backend: str) -> Outcome | None:
--- a/tests/runtime/test_connection_capacity.py
+++ b/tests/runtime/test_connection_capacity.py
@@ -15,7 +15,7 @@
         self.requests = 0
 
     @property
-    def has_room(self) -> bool:
+    def has_free_capacity(self) -> bool:
         return self.grants
 
     def reserve(self) -> bool:
@@ -23,11 +23,17 @@
         return self.grants
 
 
-@pytest.mark.parametrize("grants", [True, False])
-def test_only_connections_beyond_the_reserved_ones_need_the_clients_consent(grants: bool) -> None:
+def capacity_with_owner(*, grants: bool) -> tuple[UpstreamCapacity, FakeCapacityOwner]:
+    """Return the capacity for four connections, of which two are reserved, and its owner."""
     capacity = UpstreamCapacity(4, reserved=2)
     owner = FakeCapacityOwner(grants=grants)
     capacity.owner = owner
+    return capacity, owner
+
+
+@pytest.mark.parametrize("grants", [True, False])
+def test_only_connections_beyond_the_reserved_ones_need_the_clients_consent(grants: bool) -> None:
+    capacity, owner = capacity_with_owner(grants=grants)
     capacity.open_count = 1
     assert capacity.reserve()
     assert (capacity.granted, owner.requests) == (0, 0)
@@ -40,22 +46,18 @@
 
 @pytest.mark.parametrize("grants", [True, False])
 def test_whether_there_is_room_is_told_without_a_request(grants: bool) -> None:
-    capacity = UpstreamCapacity(4, reserved=2)
-    owner = FakeCapacityOwner(grants=grants)
-    capacity.owner = owner
+    capacity, owner = capacity_with_owner(grants=grants)
     capacity.open_count = 1
-    assert capacity.has_room
+    assert capacity.has_free_capacity
     capacity.open_count = 2
-    assert capacity.has_room is grants
+    assert capacity.has_free_capacity is grants
     capacity.open_count = 4
-    assert not capacity.has_room
+    assert not capacity.has_free_capacity
     assert owner.requests == 0
 
 
 def test_at_the_limit_no_connection_is_available_and_clients_are_not_asked() -> None:
-    capacity = UpstreamCapacity(4, reserved=2)
-    owner = FakeCapacityOwner(grants=True)
-    capacity.owner = owner
+    capacity, owner = capacity_with_owner(grants=True)
     capacity.open_count = 4
     assert not capacity.reserve()
     assert owner.requests == 0
